--- /dev/null
+++ b/cmd/acaciaglade-agent/main.go
@@ -0,0 +1,12 @@
+// Command acaciaglade-agent is the process beside one upstream.
+package main
+
+import (
+	"os"
+
+	"github.com/acaciaglade/acaciaglade/pkg/cli"
+)
+
+func main() {
+	os.Exit(cli.AgentMain(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/acaciaglade/main.go
@@ -0,0 +1,12 @@
+// Command acaciaglade is the entry process and the operators' commands.
+package main
+
+import (
+	"os"
+
+	"github.com/acaciaglade/acaciaglade/pkg/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:]))
+}
--- /dev/null
+++ b/lab/cmd/lab/main.go
@@ -0,0 +1,100 @@
+// Command lab runs the stand-ins of the systems around acaciaglade, and the
+// demo and experiments on them.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/labstack/echo/v4"
+
+	"github.com/acaciaglade/acaciaglade/lab/demo"
+	"github.com/acaciaglade/acaciaglade/lab/engine"
+	"github.com/acaciaglade/acaciaglade/lab/hostlist"
+	"github.com/acaciaglade/acaciaglade/lab/objectapi"
+	"github.com/acaciaglade/acaciaglade/lab/orders"
+	"github.com/acaciaglade/acaciaglade/pkg/server"
+)
+
+// listenFlag is the setting that all stand-ins have.
+type listenFlag struct {
+	Listen string `long:"listen" required:"yes" description:"Address to listen on."`
+}
+
+func (f *listenFlag) serve(register func(*echo.Echo)) error {
+	e := server.NewEcho()
+	register(e)
+	return e.Start(f.Listen)
+}
+
+type engineCommand struct {
+	listenFlag
+	Model          string        `long:"model" default:"draft" description:"Name of the model."`
+	Slots          int           `long:"slots" default:"32" description:"Requests that run at once."`
+	Step           time.Duration `long:"step" default:"10ms" description:"Time of a step with an empty batch."`
+	StepPerRequest time.Duration `long:"step-per-request" default:"500us" description:"Time that each running request adds to a step."`
+	ColdSteps      int           `long:"cold-steps" default:"20" description:"Steps that a cold engine takes to warm up."`
+	ColdFactor     float64       `long:"cold-factor" default:"4" description:"How much slower a cold engine is."`
+}
+
+// Execute implements flags.Commander.
+func (c *engineCommand) Execute([]string) error {
+	s := engine.New(engine.Config{
+		Model: c.Model, Slots: c.Slots, Step: c.Step, StepPerRequest: c.StepPerRequest,
+		ColdSteps: c.ColdSteps, ColdFactor: c.ColdFactor,
+	})
+	go s.Run()
+	return c.serve(s.Register)
+}
+
+type ordersCommand struct {
+	listenFlag
+	Delay time.Duration `long:"delay" default:"20ms" description:"Time of one confirmation."`
+}
+
+// Execute implements flags.Commander.
+func (c *ordersCommand) Execute([]string) error { return c.serve(orders.New(c.Delay).Register) }
+
+type objectsCommand struct {
+	listenFlag
+	Writes int `long:"writes-per-second" default:"300" description:"Most writes a second."`
+	Reads  int `long:"reads-per-second" default:"2000" description:"Most reads a second."`
+}
+
+// Execute implements flags.Commander.
+func (c *objectsCommand) Execute([]string) error {
+	return c.serve(objectapi.New(objectapi.Config{WritesPerSecond: c.Writes, ReadsPerSecond: c.Reads}).Register)
+}
+
+type hostsCommand struct {
+	listenFlag
+	Lag time.Duration `long:"lag" default:"1s" description:"Time until a change is visible."`
+}
+
+// Execute implements flags.Commander.
+func (c *hostsCommand) Execute([]string) error { return c.serve(hostlist.New(c.Lag, nil).Register) }
+
+func main() {
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "lab"
+	for _, command := range []struct {
+		name, description string
+		data              any
+	}{
+		{"engine", "Run a stand-in of a model engine", &engineCommand{}},
+		{"orders", "Run a stand-in of an order-handling service", &ordersCommand{}},
+		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
+		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
+		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
+	} {
+		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/lab/demo/demo.go
@@ -0,0 +1,138 @@
+// Package demo runs a whole deployment, sends it traffic, and prints what each
+// organisation got and what was refused and why.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/lab/deploy"
+	"github.com/acaciaglade/acaciaglade/lab/load"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Command is the demo command.
+type Command struct {
+	Entries  int           `long:"entries" default:"4" description:"Entry hosts."`
+	Models   int           `long:"models" default:"12" description:"Replicas of the model."`
+	Orders   int           `long:"orders" default:"3" description:"Replicas of the order service."`
+	Duration time.Duration `long:"duration" default:"5s" description:"Time for which traffic is sent."`
+	Keep     bool          `long:"keep" description:"Keep the deployment running until interrupted."`
+}
+
+// startTimeout bounds the start of the deployment.
+const startTimeout = 60 * time.Second
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	folder, err := os.MkdirTemp("", "acaciaglade-demo-")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	fmt.Println("building the programs")
+	ctx := context.Background()
+	if err := deploy.Build(ctx, folder); err != nil {
+		return err
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fmt.Println("starting the deployment; logs are in", folder)
+	d, err := deploy.Start(startCtx, folder, folder, c.shape())
+	if err != nil {
+		return err
+	}
+	defer d.Stop()
+	fmt.Printf("%d entries and %d upstreams are ready; sending traffic for %s\n", len(d.Entries), len(d.Agents), c.Duration)
+	results := c.traffic(ctx, d)
+	if c.Keep {
+		fmt.Printf("operators: acaciaglade status --entry %s --operator-token %s\n", d.Entries[0].URL(), deploy.OperatorToken)
+		fmt.Println("programs are in", filepath.Clean(folder))
+		select {}
+	}
+	return print(results)
+}
+
+// organisations is the callers of the demo.
+var organisations = []table.Organisation{
+	{Name: "tamm-kask", Weight: 1, Priority: true},
+	{Name: "crateburst", Weight: 3},
+	{Name: "harbour-cards", Weight: 1},
+	{Name: "metered", Weight: 1, Ceiling: 200},
+}
+
+// Token returns the bearer token of a demo organisation.
+func Token(organisation string) string { return "token-of-" + organisation }
+
+// Table returns the first table of the demo.
+func Table(domains []string) table.Table {
+	t := table.Table{
+		Services: []table.Service{
+			{Name: deploy.ModelService, Kind: table.KindModel},
+			{Name: deploy.OrderService, Kind: table.KindPlain},
+		},
+	}
+	for _, o := range organisations {
+		o.TokenHash = table.HashToken(Token(o.Name))
+		t.Organisations = append(t.Organisations, o)
+	}
+	for _, name := range domains {
+		t.FailureDomains = append(t.FailureDomains, table.FailureDomain{Name: name})
+	}
+	return t
+}
+
+func (c *Command) shape() deploy.Shape {
+	domains := []string{"fd-a", "fd-b", "fd-c"}
+	return deploy.Shape{
+		FailureDomains: domains,
+		Entries:        c.Entries,
+		Models:         c.Models,
+		Orders:         c.Orders,
+		HostListLag:    time.Second,
+		Table:          Table(domains),
+	}
+}
+
+// traffic sends each organisation's requests at an open-loop rate.
+func (c *Command) traffic(ctx context.Context, d *deploy.Deployment) []load.Result {
+	entries := make([]string, len(d.Entries))
+	for i, p := range d.Entries {
+		entries[i] = p.URL()
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration)
+	defer cancel()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var results []load.Result
+	for _, o := range organisations {
+		for _, kind := range []load.Kind{load.Chat, load.Confirm} {
+			group.Go(func() {
+				r := load.Run(ctx, load.Config{
+					Entries: entries, Organisation: o.Name, Token: Token(o.Name), Kind: kind,
+					PerSecond: 10, Tokens: 24, Model: deploy.ModelService, Service: deploy.OrderService,
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				results = append(results, r)
+			})
+		}
+	}
+	group.Wait()
+	return results
+}
+
+func print(results []load.Result) error {
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "ORGANISATION\tWORK\tSENT\tCOMPLETE\tTOKENS\tREFUSED")
+	for _, r := range results {
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%s\n", r.Organisation, r.Kind, r.Sent, r.Complete, r.Tokens, r.RefusedText())
+	}
+	return errors.WithStack(tw.Flush())
+}
--- /dev/null
+++ b/lab/deploy/deploy.go
@@ -0,0 +1,340 @@
+// Package deploy starts a whole deployment as separate processes on loopback:
+// the stand-ins, entries and agents. Every process can be signalled by name.
+package deploy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/operator"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Secrets of the deployment. They protect nothing but loopback.
+const (
+	PeerToken     = "loopback-peer-token"
+	OperatorToken = "loopback-operator-token"
+)
+
+// Shape is the size of a deployment.
+type Shape struct {
+	FailureDomains []string
+	Entries        int
+	Models         int
+	Orders         int
+	// HostListLag is the lag of the host list.
+	HostListLag time.Duration
+	// Table is the first table. Its version is set by the deployment.
+	Table table.Table
+	// EngineArgs, AgentArgs and EntryArgs are added to the commands.
+	EngineArgs []string
+	AgentArgs  []string
+	EntryArgs  []string
+}
+
+// Names of services in deployments.
+const (
+	ModelService = "draft"
+	OrderService = "orders"
+)
+
+// Process is one started process.
+type Process struct {
+	Name    string
+	Address string
+	Domain  string
+	cmd     *exec.Cmd
+	done    chan struct{}
+}
+
+// URL returns the process's base URL.
+func (p *Process) URL() string { return "http://" + p.Address }
+
+// Signal sends the process a signal.
+func (p *Process) Signal(s syscall.Signal) error { return errors.WithStack(p.cmd.Process.Signal(s)) }
+
+// Wait waits until the process has ended, or ctx ends.
+func (p *Process) Wait(ctx context.Context) error {
+	select {
+	case <-p.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Deployment is a set of running processes.
+type Deployment struct {
+	Shape     Shape
+	Objects   *Process
+	HostList  *Process
+	Entries   []*Process
+	Agents    []*Process
+	Upstreams []*Process
+
+	bin       string
+	logs      string
+	processes []*Process
+	list      []hosts.Host
+}
+
+// Build compiles the programs into a folder.
+func Build(ctx context.Context, bin string) error {
+	for _, target := range []string{
+		"github.com/acaciaglade/acaciaglade/cmd/acaciaglade",
+		"github.com/acaciaglade/acaciaglade/cmd/acaciaglade-agent",
+		"github.com/acaciaglade/acaciaglade/lab/cmd/lab",
+	} {
+		cmd := exec.CommandContext(ctx, "go", "build", "-o", bin+"/", target)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return errors.Errorf("%s not built: %s", target, out)
+		}
+	}
+	return nil
+}
+
+// Start starts a deployment from the programs in bin, with logs in a folder,
+// and waits until every entry is ready and every agent reports.
+func Start(ctx context.Context, bin, logs string, shape Shape) (*Deployment, error) {
+	d := &Deployment{Shape: shape, bin: bin, logs: logs}
+	if err := d.start(ctx); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	var err error
+	if d.Objects, err = d.Run("objects", "", "lab", "objects"); err != nil {
+		return err
+	}
+	if d.HostList, err = d.Run("hosts", "", "lab", "hosts", "--lag", d.Shape.HostListLag.String()); err != nil {
+		return err
+	}
+	for i := range d.Shape.Models {
+		if err := d.addUpstream(i, ModelService, true); err != nil {
+			return err
+		}
+	}
+	for i := range d.Shape.Orders {
+		if err := d.addUpstream(i, OrderService, false); err != nil {
+			return err
+		}
+	}
+	for i := range d.Shape.Entries {
+		if err := d.addEntry(i); err != nil {
+			return err
+		}
+	}
+	if err := d.setHosts(ctx); err != nil {
+		return err
+	}
+	return d.waitReady(ctx)
+}
+
+func (d *Deployment) domain(i int) string {
+	return d.Shape.FailureDomains[i%len(d.Shape.FailureDomains)]
+}
+
+// addUpstream starts an upstream and its agent.
+func (d *Deployment) addUpstream(i int, service string, model bool) error {
+	name := fmt.Sprintf("%s-%d", service, i)
+	args := []string{"orders"}
+	if model {
+		args = append([]string{"engine"}, d.Shape.EngineArgs...)
+	}
+	upstream, err := d.Run("upstream-"+name, d.domain(i), "lab", args...)
+	if err != nil {
+		return err
+	}
+	d.Upstreams = append(d.Upstreams, upstream)
+	agentArgs := append(d.common(name, d.domain(i)), "--service", service, "--upstream", upstream.URL())
+	if model {
+		agentArgs = append(agentArgs, "--model")
+	}
+	agent, err := d.Run(name, d.domain(i), "acaciaglade-agent", append(agentArgs, d.Shape.AgentArgs...)...)
+	if err != nil {
+		return err
+	}
+	d.Agents = append(d.Agents, agent)
+	d.list = append(d.list, hosts.Host{Name: name, Role: hosts.RoleUpstream, FailureDomain: agent.Domain, Address: agent.URL()})
+	return nil
+}
+
+func (d *Deployment) addEntry(i int) error {
+	name := fmt.Sprintf("entry-%d", i)
+	args := append([]string{"serve"}, d.common(name, d.domain(i))...)
+	args = append(args, "--host-list", d.HostList.URL(), "--operator-token", OperatorToken)
+	entry, err := d.Run(name, d.domain(i), "acaciaglade", append(args, d.Shape.EntryArgs...)...)
+	if err != nil {
+		return err
+	}
+	d.Entries = append(d.Entries, entry)
+	d.list = append(d.list, hosts.Host{Name: name, Role: hosts.RoleEntry, FailureDomain: entry.Domain, Address: entry.URL()})
+	return nil
+}
+
+func (d *Deployment) common(name, domain string) []string {
+	return []string{"--name", name, "--failure-domain", domain, "--peer-token", PeerToken, "--object-api", d.Objects.URL()}
+}
+
+// Run starts one program with a free address of its own.
+func (d *Deployment) Run(name, domain, program string, args ...string) (*Process, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	return d.RunAt(address, name, domain, program, args...)
+}
+
+// RunAt starts one program at an address.
+func (d *Deployment) RunAt(address, name, domain, program string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(d.logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	cmd := exec.Command(filepath.Join(d.bin, program), append(args, "--listen", address)...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	p := &Process{Name: name, Address: address, Domain: domain, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		log.Close()
+		close(p.done)
+	}()
+	d.processes = append(d.processes, p)
+	return p, nil
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// setHosts tells the host list where everything is, and writes the first table.
+func (d *Deployment) setHosts(ctx context.Context) error {
+	if err := poll(ctx, func() error { return Put(ctx, d.HostList.URL()+"/lab/hosts", d.list) }); err != nil {
+		return err
+	}
+	if err := poll(ctx, func() error { return get(ctx, d.Entries[0].URL()+"/healthz") }); err != nil {
+		return err
+	}
+	first := d.Shape.Table
+	_, err := d.Operator(0).PutTable(ctx, &first)
+	return err
+}
+
+// Operator returns a client of an entry's operators' API.
+func (d *Deployment) Operator(entry int) *operator.Client {
+	return operator.NewClient(d.Entries[entry].URL(), OperatorToken)
+}
+
+// waitReady waits until every entry sees every agent ready.
+func (d *Deployment) waitReady(ctx context.Context) error {
+	for i := range d.Entries {
+		err := poll(ctx, func() error {
+			s, err := d.Operator(i).Status(ctx)
+			if err != nil {
+				return err
+			}
+			ready := 0
+			for _, u := range s.Upstreams {
+				if u.Ready {
+					ready++
+				}
+			}
+			if ready < len(d.Agents) {
+				return errors.Errorf("%s sees %d of %d upstreams; read the logs in %s", d.Entries[i].Name, ready, len(d.Agents), d.logs)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop stops every process, at first gracefully.
+func (d *Deployment) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for i := len(d.processes) - 1; i >= 0; i-- {
+		_ = d.processes[i].Signal(syscall.SIGCONT)
+		_ = d.processes[i].Signal(syscall.SIGTERM)
+	}
+	for _, p := range d.processes {
+		if p.Wait(ctx) != nil {
+			_ = p.Signal(syscall.SIGKILL)
+			<-p.done
+		}
+	}
+}
+
+// stopTimeout is how long processes may take to stop.
+const stopTimeout = 10 * time.Second
+
+// pollInterval is the time between two tries of poll.
+const pollInterval = 50 * time.Millisecond
+
+// poll calls fn until it succeeds or ctx ends.
+func poll(ctx context.Context, fn func() error) error {
+	for {
+		err := fn()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "deployment not ready")
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Put sends a JSON value to a stand-in.
+func Put(ctx context.Context, target string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return do(ctx, http.MethodPut, target, raw)
+}
+
+func get(ctx context.Context, target string) error { return do(ctx, http.MethodGet, target, nil) }
+
+func do(ctx context.Context, method, target string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s answered %d", strings.TrimPrefix(target, "http://"), resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/engine/engine.go
@@ -0,0 +1,257 @@
+// Package engine is a stand-in for a model engine that batches continuously:
+// each step gives every running request one token. Its step time grows with the
+// batch, and a cold engine is slow and falls over under full load.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+)
+
+// Config is the settings of the stand-in.
+type Config struct {
+	// Model is the model's name.
+	Model string
+	// Slots is how many requests run at once.
+	Slots int
+	// Step is the time of a step with an empty batch.
+	Step time.Duration
+	// StepPerRequest is what each running request adds to a step.
+	StepPerRequest time.Duration
+	// ColdSteps is how many steps a cold engine takes to warm up.
+	ColdSteps int
+	// ColdFactor is how much slower a cold engine is.
+	ColdFactor float64
+}
+
+// Server is the stand-in.
+type Server struct {
+	cfg Config
+
+	mu          sync.Mutex
+	incarnation string
+	running     map[*sequence]bool
+	steps       int
+	coldUntil   int
+	lastStep    time.Duration
+	wake        chan struct{}
+}
+
+// sequence is one running request.
+type sequence struct {
+	id     string
+	tokens chan int
+	next   int
+	length int
+	gone   bool
+}
+
+// New returns a cold engine. Run must be called for it to step.
+func New(cfg Config) *Server {
+	return &Server{
+		cfg:         cfg,
+		incarnation: uuid.NewString(),
+		running:     make(map[*sequence]bool),
+		coldUntil:   cfg.ColdSteps,
+		wake:        make(chan struct{}, 1),
+	}
+}
+
+// Register adds the stand-in's routes to an HTTP server.
+func (s *Server) Register(e *echo.Echo) {
+	e.GET("/v1/load", s.load)
+	e.POST("/v1/chat/completions", s.complete)
+	e.POST("/lab/cold", func(c echo.Context) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.coldUntil = s.steps + s.cfg.ColdSteps
+		return c.NoContent(http.StatusOK)
+	})
+}
+
+// Run steps the engine for ever.
+func (s *Server) Run() {
+	for {
+		s.mu.Lock()
+		idle := len(s.running) == 0
+		d := s.stepTime()
+		s.mu.Unlock()
+		if idle {
+			<-s.wake
+			continue
+		}
+		time.Sleep(d)
+		s.step(d)
+	}
+}
+
+// stepTime returns the time of the next step. The caller holds the lock.
+func (s *Server) stepTime() time.Duration {
+	d := s.cfg.Step + time.Duration(len(s.running))*s.cfg.StepPerRequest
+	if s.steps < s.coldUntil {
+		d = time.Duration(float64(d) * s.cfg.ColdFactor)
+	}
+	return d
+}
+
+// step gives every running request one token.
+func (s *Server) step(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps++
+	s.lastStep = took
+	for q := range s.running {
+		q.next++
+		q.tokens <- q.next
+		if q.next == q.length || q.gone {
+			close(q.tokens)
+			delete(s.running, q)
+		}
+	}
+}
+
+// load is the engine's report of its load.
+type load struct {
+	Incarnation string  `json:"incarnation"`
+	Cold        bool    `json:"cold"`
+	StepMillis  float64 `json:"step_millis"`
+	Skew        float64 `json:"skew"`
+	Running     int     `json:"running"`
+}
+
+func (s *Server) load(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.JSON(http.StatusOK, load{
+		Incarnation: s.incarnation,
+		Cold:        s.steps < s.coldUntil && s.steps == 0,
+		StepMillis:  float64(s.lastStep) / float64(time.Millisecond),
+		Skew:        1,
+		Running:     len(s.running),
+	})
+}
+
+// request is what the engine reads of a chat completion.
+type request struct {
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens int `json:"max_tokens"`
+}
+
+// defaultLength is the number of tokens of an answer without a limit.
+const defaultLength = 16
+
+func (s *Server) complete(c echo.Context) error {
+	var body request
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil || len(body.Messages) == 0 {
+		return c.JSON(http.StatusBadRequest, echo.Map{"error": "messages are missing"})
+	}
+	q := &sequence{id: c.Request().Header.Get("X-Request-Id"), length: body.MaxTokens}
+	if q.length <= 0 {
+		q.length = defaultLength
+	}
+	q.tokens = make(chan int, q.length+1)
+	if !s.start(q) {
+		return c.NoContent(http.StatusTooManyRequests)
+	}
+	defer s.leave(q)
+	words := strings.Fields(body.Messages[len(body.Messages)-1].Content)
+	return s.stream(c, q, words)
+}
+
+func (s *Server) start(q *sequence) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.running) >= s.cfg.Slots {
+		return false
+	}
+	s.running[q] = true
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// leave takes a request out at the next step.
+func (s *Server) leave(q *sequence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q.gone = true
+}
+
+// delta is the new part of a streamed answer.
+type delta struct {
+	Content string `json:"content,omitempty"`
+}
+
+// choice is the only alternative of a streamed answer.
+type choice struct {
+	Index        int     `json:"index"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// chunk is one event of a streamed answer.
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+func (s *Server) stream(c echo.Context, q *sequence, words []string) error {
+	c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
+	c.Response().WriteHeader(http.StatusOK)
+	c.Response().Flush()
+	for {
+		select {
+		case n, ok := <-q.tokens:
+			if !ok {
+				_, err := fmt.Fprint(c.Response(), "data: [DONE]\n\n")
+				return err
+			}
+			if err := s.event(c, q, token(words, n), n == q.length); err != nil {
+				return err
+			}
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
+
+// token returns the nth token of an answer: the prompt's words in turn, with
+// their number, so that a gap or a repeat shows.
+func token(words []string, n int) string {
+	word := "token"
+	if len(words) > 0 {
+		word = words[(n-1)%len(words)]
+	}
+	return fmt.Sprintf("%s-%d ", word, n)
+}
+
+func (s *Server) event(c echo.Context, q *sequence, content string, last bool) error {
+	part := chunk{ID: q.id, Object: "chat.completion.chunk", Created: 0, Model: s.cfg.Model, Choices: []choice{{Delta: delta{Content: content}}}}
+	if last {
+		reason := "stop"
+		part.Choices[0].FinishReason = &reason
+	}
+	raw, err := json.Marshal(part)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(c.Response(), "data: %s\n\n", raw); err != nil {
+		return err
+	}
+	c.Response().Flush()
+	return nil
+}
--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,209 @@
+// Package agent is the process beside one upstream. It owns the admission of
+// work to the upstream, the memory of requests that makes work run at most
+// once, and the answers until they are delivered.
+//
+// A request passes identify, gate, claim and dispatch; its answer is kept as
+// frames that entries read, on as many connections as they need.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/admission"
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/claim"
+	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/warmup"
+)
+
+// Config is the settings of an agent.
+type Config struct {
+	// Upstream, FailureDomain and Service name the upstream and its place.
+	Upstream      string
+	FailureDomain string
+	Service       string
+	// Model is true when the upstream is a model engine.
+	Model bool
+	// UpstreamURL is the base URL of the upstream.
+	UpstreamURL string
+	// PeerToken is the shared secret of the system's processes.
+	PeerToken string
+	// ClockError is the largest difference between two hosts' clocks.
+	ClockError time.Duration
+	// Heartbeat is the time between heartbeats on idle streams.
+	Heartbeat time.Duration
+	// Orphan is how long an answer that nobody reads is kept running.
+	Orphan time.Duration
+	// SampleInterval is the time between two samples of the upstream.
+	SampleInterval time.Duration
+	// Warmup is the settings of the admission limit.
+	Warmup warmup.Config
+}
+
+// Agent serves the attempts of entries.
+type Agent struct {
+	cfg         Config
+	incarnation string
+	upstream    *upstreamClient
+	claims      *claim.Book
+	metrics     *agentMetrics
+	log         logger
+
+	mu   sync.Mutex
+	gate *admission.Gate
+	runs map[string]*run
+
+	work sync.WaitGroup
+}
+
+// New returns an agent. Run must be called for it to admit work.
+func New(cfg Config, store objects.Store, reg prometheus.Registerer) *Agent {
+	incarnation := uuid.NewString()
+	return &Agent{
+		cfg:         cfg,
+		incarnation: incarnation,
+		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
+		claims:      claim.NewBook(store),
+		metrics:     newAgentMetrics(reg),
+		log:         logging.For("agent"),
+		gate: admission.New(admission.Config{
+			Upstream:      cfg.Upstream,
+			FailureDomain: cfg.FailureDomain,
+			Service:       cfg.Service,
+			Incarnation:   incarnation,
+			ClockError:    cfg.ClockError,
+			Warmup:        cfg.Warmup,
+		}),
+		runs: make(map[string]*run),
+	}
+}
+
+// Run samples the upstream and cleans up until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	ticker := time.NewTicker(a.cfg.SampleInterval)
+	defer ticker.Stop()
+	for {
+		a.sample(ctx)
+		a.sweep(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Drain stops the admission of new work and waits until all running work has
+// ended and been delivered, or ctx ends.
+func (a *Agent) Drain(ctx context.Context) error {
+	a.mu.Lock()
+	a.gate.Leave()
+	a.mu.Unlock()
+	a.log.Info("leaving; no new work is admitted")
+	done := make(chan struct{})
+	go func() {
+		a.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sample reads the upstream's load and adapts the limit.
+func (a *Agent) sample(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.SampleInterval)
+	defer cancel()
+	load, err := a.upstream.load(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.gate.Unreachable()
+		return
+	}
+	a.gate.Observe(warmup.Sample{
+		Incarnation: load.Incarnation,
+		Step:        time.Duration(load.StepMillis * float64(time.Millisecond)),
+		Cold:        load.Cold,
+	}, load.Skew, time.Now())
+}
+
+// sweep forgets answers that nobody needs any more and cancels abandoned runs.
+func (a *Agent) sweep(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, r := range a.runs {
+		if !r.abandoned(now, a.cfg.Orphan) {
+			continue
+		}
+		if r.finished() {
+			delete(a.runs, id)
+			continue
+		}
+		r.cancel()
+	}
+}
+
+// admit decides on an attempt, and starts it when it is admitted.
+func (a *Agent) admit(req *api.AttemptRequest, now time.Time) (admission.Decision, *run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := a.gate.Admit(req, now)
+	if d.Attach {
+		return a.attach(req.RequestID)
+	}
+	if !d.Admitted {
+		a.metrics.refusals.WithLabelValues(d.Refusal.Reason).Inc()
+		return d, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(req.DeadlineUnixMilli))
+	r := newRun(req.RequestID, cancel, now)
+	a.runs[req.RequestID] = r
+	a.metrics.running.Inc()
+	a.work.Go(func() {
+		defer cancel()
+		a.execute(ctx, req, r)
+		a.release()
+	})
+	return d, r
+}
+
+// attach returns the run of a request that was seen before.
+func (a *Agent) attach(id string) (admission.Decision, *run) {
+	if r, ok := a.runs[id]; ok {
+		return admission.Decision{Attach: true}, r
+	}
+	refusal := &api.Refusal{Reason: string(problem.ReasonOutcomeUnknown)}
+	return admission.Decision{Outcome: api.OutcomeUnknown, Refusal: refusal}, nil
+}
+
+func (a *Agent) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Release()
+	a.metrics.running.Dec()
+}
+
+func (a *Agent) report() api.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Report()
+}
+
+// Register adds the agent's routes to an HTTP server.
+func (a *Agent) Register(e *echo.Echo) {
+	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	a.registerPeer(e)
+}
--- /dev/null
+++ b/pkg/agent/http.go
@@ -0,0 +1,171 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+)
+
+// registerPeer adds the routes that entries call.
+func (a *Agent) registerPeer(e *echo.Echo) {
+	g := e.Group("", peer.RequireToken(a.cfg.PeerToken))
+	g.POST(peer.PathAttempts, a.handleAttempt)
+	g.GET(peer.PathAttempts+"/:id", a.handleResume)
+	g.DELETE(peer.PathAttempts+"/:id", a.handleCancel)
+	g.POST(peer.PathWithdraw, a.handleWithdraw)
+	g.POST(peer.PathReport, a.handleReport)
+}
+
+func (a *Agent) handleAttempt(c echo.Context) error {
+	var req api.AttemptRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	d, r := a.admit(&req, time.Now())
+	w := newFrameWriter(c)
+	if r == nil {
+		return w.write(a.refusalFrame(req.RequestID, d.Outcome, d.Refusal))
+	}
+	return a.relay(c, w, r, 1)
+}
+
+func (a *Agent) handleResume(c echo.Context) error {
+	from, err := strconv.Atoi(c.QueryParam("from"))
+	if err != nil || from < 1 {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	a.mu.Lock()
+	r := a.runs[c.Param("id")]
+	a.mu.Unlock()
+	w := newFrameWriter(c)
+	if r == nil {
+		return w.write(a.refusalFrame(c.Param("id"), api.OutcomeUnknown, nil))
+	}
+	return a.relay(c, w, r, from)
+}
+
+func (a *Agent) handleCancel(c echo.Context) error {
+	a.mu.Lock()
+	r := a.runs[c.Param("id")]
+	a.mu.Unlock()
+	if r != nil {
+		r.cancel()
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func (a *Agent) handleWithdraw(c echo.Context) error {
+	var req api.WithdrawRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	a.mu.Lock()
+	outcome := a.gate.Withdraw(&req, time.Now())
+	a.mu.Unlock()
+	return c.JSON(http.StatusOK, api.WithdrawReply{Outcome: outcome})
+}
+
+func (a *Agent) handleReport(c echo.Context) error {
+	var req api.ReportRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	if req.Marks != nil {
+		a.takeMarks(*req.Marks)
+	}
+	return c.JSON(http.StatusOK, a.report())
+}
+
+func (a *Agent) takeMarks(m api.Marks) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gate.SetMarks(m) {
+		a.log.WithField("version", m.Version).Info("marks in force")
+	}
+}
+
+func (a *Agent) refusalFrame(id string, outcome api.Outcome, refusal *api.Refusal) *api.Frame {
+	report := a.report()
+	return &api.Frame{Kind: api.FrameFinal, RequestID: id, Outcome: outcome, Refusal: refusal, Report: &report}
+}
+
+// relay writes the frames of a run from a data frame on, with heartbeats while
+// there are none.
+func (a *Agent) relay(c echo.Context, w *frameWriter, r *run, from int) error {
+	r.attach()
+	defer func() { r.detach(time.Now()) }()
+	heartbeat := time.NewTicker(a.cfg.Heartbeat)
+	defer heartbeat.Stop()
+	sent := 0
+	for {
+		frames, ended, changed := r.next(sent)
+		if err := a.writeFrames(w, frames, from); err != nil {
+			return err
+		}
+		sent += len(frames)
+		if ended && len(frames) > 0 && frames[len(frames)-1].Kind == api.FrameFinal {
+			return nil
+		}
+		select {
+		case <-c.Request().Context().Done():
+			return c.Request().Context().Err()
+		case <-changed:
+		case <-heartbeat.C:
+			if err := w.write(&api.Frame{Kind: api.FrameHeartbeat, RequestID: r.id}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (a *Agent) writeFrames(w *frameWriter, frames []api.Frame, from int) error {
+	for i := range frames {
+		f := frames[i]
+		if f.Kind == api.FrameData && f.Seq < from {
+			continue
+		}
+		if f.Kind == api.FrameFinal {
+			report := a.report()
+			f.Report = &report
+		}
+		if err := w.encode(&f); err != nil {
+			return err
+		}
+	}
+	if len(frames) > 0 {
+		w.flush()
+	}
+	return nil
+}
+
+// frameWriter writes frames as JSON lines.
+type frameWriter struct {
+	response *echo.Response
+	encoder  *json.Encoder
+}
+
+func newFrameWriter(c echo.Context) *frameWriter {
+	c.Response().Header().Set(echo.HeaderContentType, "application/x-ndjson")
+	c.Response().WriteHeader(http.StatusOK)
+	c.Response().Flush()
+	return &frameWriter{response: c.Response(), encoder: json.NewEncoder(c.Response())}
+}
+
+func (w *frameWriter) encode(f *api.Frame) error { return w.encoder.Encode(f) }
+
+func (w *frameWriter) flush() { w.response.Flush() }
+
+// write writes one frame at once.
+func (w *frameWriter) write(f *api.Frame) error {
+	if err := w.encode(f); err != nil {
+		return err
+	}
+	w.flush()
+	return nil
+}
--- /dev/null
+++ b/pkg/agent/metrics.go
@@ -0,0 +1,30 @@
+package agent
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// logger is the log of a part.
+type logger = *logrus.Entry
+
+// agentMetrics is the metrics of an agent.
+type agentMetrics struct {
+	refusals *prometheus.CounterVec
+	running  prometheus.Gauge
+}
+
+func newAgentMetrics(reg prometheus.Registerer) *agentMetrics {
+	m := &agentMetrics{
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaglade_agent_refusals_total",
+			Help: "Attempts refused by the agent, by reason.",
+		}, []string{"reason"}),
+		running: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "acaciaglade_agent_running",
+			Help: "Attempts admitted and not yet ended.",
+		}),
+	}
+	reg.MustRegister(m.refusals, m.running)
+	return m
+}
--- /dev/null
+++ b/pkg/agent/upstream.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// Headers of calls to upstreams.
+const (
+	headerRequestID = "X-Request-Id"
+	headerPriority  = "X-Priority"
+)
+
+// maxAnswerPart is the largest part of a plain answer in bytes.
+const maxAnswerPart = 32 << 10
+
+// loadReport is an upstream's own report of its load.
+type loadReport struct {
+	Incarnation string  `json:"incarnation"`
+	Cold        bool    `json:"cold"`
+	StepMillis  float64 `json:"step_millis"`
+	Skew        float64 `json:"skew"`
+}
+
+// upstreamClient calls the upstream.
+type upstreamClient struct {
+	base  string
+	model bool
+	http  *http.Client
+}
+
+func newUpstreamClient(base string, model bool) *upstreamClient {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxIdleConnsPerHost = 64
+	return &upstreamClient{base: base, model: model, http: &http.Client{Transport: transport}}
+}
+
+// load reads the upstream's report.
+func (u *upstreamClient) load(ctx context.Context) (loadReport, error) {
+	var report loadReport
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.base+"/v1/load", nil)
+	if err != nil {
+		return report, errors.WithStack(err)
+	}
+	resp, err := u.http.Do(req)
+	if err != nil {
+		return report, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return report, errors.Errorf("load report answered %d; check the upstream", resp.StatusCode)
+	}
+	return report, errors.WithStack(json.NewDecoder(resp.Body).Decode(&report))
+}
+
+// answer takes the parts of an upstream's answer.
+type answer interface {
+	head(status int, contentType string)
+	data(part []byte)
+}
+
+// call sends an attempt to the upstream and passes the answer on. A plain
+// answer is also copied to kept.
+func (u *upstreamClient) call(ctx context.Context, a *api.AttemptRequest, out answer, kept *bytes.Buffer) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, a.Method, u.base+a.Path, bytes.NewReader(a.Body))
+	if err != nil {
+		return 0, "", errors.WithStack(err)
+	}
+	// Without GetBody the transport can't send the request a second time.
+	req.GetBody = nil
+	req.Header.Set(headerRequestID, a.RequestID)
+	if a.ContentType != "" {
+		req.Header.Set("Content-Type", a.ContentType)
+	}
+	if a.Priority {
+		req.Header.Set(headerPriority, "1")
+	}
+	resp, err := u.http.Do(req)
+	if err != nil {
+		return 0, "", errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	contentType := resp.Header.Get("Content-Type")
+	out.head(resp.StatusCode, contentType)
+	if u.model && resp.StatusCode == http.StatusOK {
+		return resp.StatusCode, contentType, readEvents(resp.Body, out)
+	}
+	return resp.StatusCode, contentType, readParts(resp.Body, out, kept)
+}
+
+// Markers of server-sent events.
+const (
+	eventPrefix = "data: "
+	eventDone   = "[DONE]"
+)
+
+// ErrTruncated means that an engine's stream ended without its end marker.
+var ErrTruncated = errors.New("engine's stream ended early; resume it or send the request again")
+
+// readEvents passes on the data of each server-sent event up to the end marker.
+func readEvents(body io.Reader, out answer) error {
+	lines := bufio.NewReader(body)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return errors.Wrap(ErrTruncated, err.Error())
+		}
+		event, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte(eventPrefix))
+		if !ok {
+			continue
+		}
+		if string(event) == eventDone {
+			return nil
+		}
+		out.data(event)
+	}
+}
+
+// readParts passes on a plain answer.
+func readParts(body io.Reader, out answer, kept *bytes.Buffer) error {
+	part := make([]byte, maxAnswerPart)
+	for {
+		n, err := body.Read(part)
+		if n > 0 {
+			out.data(bytes.Clone(part[:n]))
+			kept.Write(part[:n])
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.WithStack(err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/api/report.go
@@ -0,0 +1,42 @@
+package api
+
+// Report is what an agent tells entries about its upstream.
+type Report struct {
+	// Upstream is the name of the agent's upstream.
+	Upstream string `json:"upstream"`
+	// FailureDomain is the failure domain of the agent's host.
+	FailureDomain string `json:"failure_domain"`
+	// Service is the service that the upstream serves.
+	Service string `json:"service"`
+	// Incarnation is fresh at each start of the agent.
+	Incarnation string `json:"incarnation"`
+	// Sequence grows with each report of an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Limit is how many requests the upstream may run at once now.
+	Limit int `json:"limit"`
+	// Running is how many requests the upstream runs now.
+	Running int `json:"running"`
+	// Leaving is true once the upstream has started to leave.
+	Leaving bool `json:"leaving"`
+	// Ready is false while the upstream can't take work.
+	Ready bool `json:"ready"`
+	// MarksVersion is the version of the marks that the agent has in force.
+	MarksVersion uint64 `json:"marks_version"`
+	// StepMillis is the upstream's recent step time in milliseconds.
+	StepMillis float64 `json:"step_millis,omitempty"`
+	// Skew is the recent ratio of the slowest rank's step time to the mean.
+	Skew float64 `json:"skew,omitempty"`
+}
+
+// Marks is the part of the table that agents hold: the failure domains and
+// upstreams that are out of service.
+type Marks struct {
+	Version           uint64   `json:"version"`
+	OutFailureDomains []string `json:"out_failure_domains"`
+	OutUpstreams      []string `json:"out_upstreams"`
+}
+
+// ReportRequest asks an agent for a report and brings it newer marks.
+type ReportRequest struct {
+	Marks *Marks `json:"marks,omitempty"`
+}
--- /dev/null
+++ b/pkg/cli/agent.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"context"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/acaciaglade/acaciaglade/pkg/agent"
+	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/server"
+	"github.com/acaciaglade/acaciaglade/pkg/settings"
+	"github.com/acaciaglade/acaciaglade/pkg/warmup"
+)
+
+// AgentMain runs the agent and returns the process's exit status.
+func AgentMain(args []string) int {
+	var s settings.Agent
+	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "acaciaglade-agent"
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		err = runAgent(&s)
+	}
+	return report(parser.Name, err)
+}
+
+func runAgent(s *settings.Agent) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	if err := logging.Setup(os.Stderr, logging.Config{Format: s.Logs.Format, Level: s.Logs.Level}); err != nil {
+		return err
+	}
+	ctx, stop := server.SignalContext()
+	defer stop()
+	registry := prometheus.NewRegistry()
+	a := agent.New(agentConfig(s), objects.NewClient(s.ObjectAPI, s.ObjectTimeout), registry)
+	handler := server.NewEcho()
+	a.Register(handler)
+	handler.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.Run(background)
+	return server.Run(ctx, &s.Common, handler, a.Drain)
+}
+
+func agentConfig(s *settings.Agent) agent.Config {
+	return agent.Config{
+		Upstream:       s.Name,
+		FailureDomain:  s.FailureDomain,
+		Service:        s.Service,
+		Model:          s.Model,
+		UpstreamURL:    s.UpstreamURL,
+		PeerToken:      s.PeerToken,
+		ClockError:     s.ClockError,
+		Heartbeat:      s.Heartbeat,
+		Orphan:         s.Orphan,
+		SampleInterval: s.SampleInterval,
+		Warmup: warmup.Config{
+			Min:         s.MinRoom,
+			Max:         s.MaxRoom,
+			HealthyStep: s.HealthyStep,
+			GrowEvery:   s.GrowEvery,
+		},
+	}
+}
--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,60 @@
+// Package cli defines the commands of the acaciaglade program.
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// Main runs the command that args name and returns the process's exit status.
+func Main(args []string) int {
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "acaciaglade"
+	parser.ShortDescription = "load balancer for expert-parallel model groups"
+	addCommands(parser)
+	_, err := parser.ParseArgs(args)
+	return report(parser.Name, err)
+}
+
+// report prints a command's error and returns the process's exit status.
+func report(program string, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var flagError *flags.Error
+	if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+		fmt.Println(flagError.Message)
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, program+": "+err.Error())
+	return exitFailure
+}
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailure = 1
+)
+
+func addCommands(parser *flags.Parser) {
+	must(parser.AddCommand("serve", "Serve callers and operators", "Runs the entry process until it is told to stop.", &serveCommand{}))
+	config := must(parser.AddCommand("config", "Work with settings", "Checks settings.", &struct{}{}))
+	must(config.AddCommand("check", "Check the settings of serve", "Reports every bad setting at once.", &checkCommand{}))
+	table := must(parser.AddCommand("table", "Read and replace the table", "Reads and replaces the table through any entry.", &struct{}{}))
+	must(table.AddCommand("show", "Show the table", "Prints the table, or its organisations as CSV.", &tableShowCommand{}))
+	must(table.AddCommand("apply", "Replace the table", "Replaces the organisations from a CSV file, or the whole table from a JSON file.", &tableApplyCommand{}))
+	must(parser.AddCommand("domain", "Take a failure domain out or in", "Marks a failure domain out of service or in.", &domainCommand{}))
+	must(parser.AddCommand("upstream", "Take an upstream out or in", "Marks an upstream out of service or in.", &upstreamCommand{}))
+	must(parser.AddCommand("status", "Show the fleet", "Shows what an entry knows of the fleet.", &statusCommand{}))
+}
+
+// must panics on a command that is defined wrongly.
+func must(c *flags.Command, err error) *flags.Command {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/cli/operator.go
@@ -0,0 +1,206 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/operator"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// connection is the settings of the operators' commands.
+type connection struct {
+	Entry string `long:"entry" env:"ACACIAGLADE_ENTRY" default:"http://127.0.0.1:8080" description:"Base URL of any entry."`
+	Token string `long:"operator-token" env:"ACACIAGLADE_OPERATOR_TOKEN" description:"Bearer token of the operators."`
+	JSON  bool   `long:"json" description:"Print JSON."`
+}
+
+func (c *connection) client() *operator.Client {
+	return operator.NewClient(strings.TrimSuffix(c.Entry, "/"), c.Token)
+}
+
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return errors.WithStack(enc.Encode(v))
+}
+
+type tableShowCommand struct {
+	connection
+	CSV bool `long:"csv" description:"Print the organisations as CSV."`
+}
+
+// Execute implements flags.Commander.
+func (c *tableShowCommand) Execute([]string) error {
+	t, err := c.client().Table(context.Background())
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.JSON:
+		return printJSON(t)
+	case c.CSV:
+		return table.WriteCSV(os.Stdout, t.Organisations)
+	default:
+		return printTable(os.Stdout, t)
+	}
+}
+
+func printTable(w io.Writer, t *table.Table) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "version\t%d\n\n", t.Version)
+	fmt.Fprintln(tw, "ORGANISATION\tWEIGHT\tCEILING\tPRIORITY")
+	for _, o := range t.Organisations {
+		fmt.Fprintf(tw, "%s\t%d\t%d\t%t\n", o.Name, o.Weight, o.Ceiling, o.Priority)
+	}
+	fmt.Fprintln(tw, "\nSERVICE\tKIND\tIDEMPOTENT PATHS")
+	for _, s := range t.Services {
+		fmt.Fprintf(tw, "%s\t%s\t%s\n", s.Name, s.Kind, strings.Join(s.IdempotentPaths, " "))
+	}
+	fmt.Fprintln(tw, "\nFAILURE DOMAIN\tMARK")
+	for _, d := range t.FailureDomains {
+		fmt.Fprintf(tw, "%s\t%s\n", d.Name, markName(d.Out))
+	}
+	fmt.Fprintln(tw, "\nUPSTREAM\tMARK")
+	for _, u := range t.Upstreams {
+		fmt.Fprintf(tw, "%s\t%s\n", u.Name, markName(u.Out))
+	}
+	return errors.WithStack(tw.Flush())
+}
+
+func markName(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
+
+type tableApplyCommand struct {
+	connection
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"A .csv file of organisations, or a .json file of the whole table."`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *tableApplyCommand) Execute([]string) error {
+	ctx := context.Background()
+	next, err := c.read(ctx)
+	if err != nil {
+		return err
+	}
+	accepted, err := c.client().PutTable(ctx, next)
+	if err != nil {
+		return err
+	}
+	return c.printAccepted(accepted)
+}
+
+func (c *connection) printAccepted(t *table.Table) error {
+	if c.JSON {
+		return printJSON(t)
+	}
+	fmt.Printf("accepted as version %d\n", t.Version)
+	return nil
+}
+
+// read returns the table that the file describes.
+func (c *tableApplyCommand) read(ctx context.Context) (*table.Table, error) {
+	file, err := os.Open(c.Args.File)
+	if err != nil {
+		return nil, errors.Wrap(err, "file can't be read; check its path")
+	}
+	defer file.Close()
+	if strings.HasSuffix(c.Args.File, ".json") {
+		var t table.Table
+		return &t, errors.Wrap(json.NewDecoder(file).Decode(&t), "file is not a JSON table; see table show --json")
+	}
+	organisations, faults := table.ReadCSV(file)
+	if faults != nil {
+		return nil, faults
+	}
+	current, err := c.client().Table(ctx)
+	if err != nil {
+		return nil, err
+	}
+	current.Organisations = organisations
+	return current, nil
+}
+
+// markArgs is the arguments of the commands that set marks.
+type markArgs struct {
+	Name string `positional-arg-name:"NAME" description:"What is marked."`
+	Mark string `positional-arg-name:"out|in" description:"The mark, out or in."`
+}
+
+func (a *markArgs) check() error {
+	if a.Mark != "out" && a.Mark != "in" {
+		return errors.Errorf("mark %q is unknown; use out or in", a.Mark)
+	}
+	return nil
+}
+
+type domainCommand struct {
+	connection
+	Args markArgs `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *domainCommand) Execute([]string) error {
+	if err := c.Args.check(); err != nil {
+		return err
+	}
+	t, err := c.client().MarkFailureDomain(context.Background(), c.Args.Name, c.Args.Mark)
+	if err != nil {
+		return err
+	}
+	return c.printAccepted(t)
+}
+
+type upstreamCommand struct {
+	connection
+	Args markArgs `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *upstreamCommand) Execute([]string) error {
+	if err := c.Args.check(); err != nil {
+		return err
+	}
+	t, err := c.client().MarkUpstream(context.Background(), c.Args.Name, c.Args.Mark)
+	if err != nil {
+		return err
+	}
+	return c.printAccepted(t)
+}
+
+type statusCommand struct {
+	connection
+}
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	s, err := c.client().Status(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(s)
+	}
+	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "entry %s, table version %d\n\n", s.Entry, s.TableVersion)
+	fmt.Fprintln(tw, "UPSTREAM\tSERVICE\tFAILURE DOMAIN\tRUNNING\tLIMIT\tREADY\tLEAVING\tMARK\tVERSION\tAGE")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%t\t%t\t%s\t%d\t%s\n", u.Upstream, u.Service, u.FailureDomain,
+			u.Running, u.Limit, u.Ready, u.Leaving, markName(u.Out), u.MarksVersion, strconv.FormatInt(u.ReportAgeMillis, 10)+"ms")
+	}
+	return errors.WithStack(tw.Flush())
+}
--- /dev/null
+++ b/pkg/cli/serve.go
@@ -0,0 +1,92 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"hash/maphash"
+	"os"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/entry"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
+	"github.com/acaciaglade/acaciaglade/pkg/fleet"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/scheduler"
+	"github.com/acaciaglade/acaciaglade/pkg/server"
+	"github.com/acaciaglade/acaciaglade/pkg/settings"
+	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
+)
+
+type serveCommand struct {
+	settings.Entry
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	if err := logging.Setup(os.Stderr, logging.Config{Format: c.Logs.Format, Level: c.Logs.Level}); err != nil {
+		return err
+	}
+	ctx, stop := server.SignalContext()
+	defer stop()
+	e := newEntry(&c.Entry)
+	handler := server.NewEcho()
+	e.Register(handler)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go e.Run(background)
+	return server.Run(ctx, &c.Common, handler, func(context.Context) error {
+		e.Stop()
+		return nil
+	})
+}
+
+func newEntry(s *settings.Entry) *entry.Entry {
+	agents := peer.NewAgentClient(s.PeerToken)
+	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout))
+	view := fleet.New(fleet.Config{
+		ReportInterval: s.ReportInterval,
+		HostsInterval:  s.HostsInterval,
+		MaxReportAge:   s.MaxReportAge,
+		Seed:           maphash.Comparable(maphash.MakeSeed(), s.Name),
+		Scheduler: scheduler.Config{
+			MaxWaiting:        s.MaxWaiting,
+			AvoidAfterFailure: s.AvoidAfter,
+		},
+	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
+	return entry.New(entry.Config{
+		Name:          s.Name,
+		PeerToken:     s.PeerToken,
+		OperatorToken: s.OperatorToken,
+		MaxBodyBytes:  s.MaxBodyBytes,
+		Deadline:      deadline.Config{Default: s.DefaultDeadline, Max: s.MaxDeadline},
+		Ceiling:       ceiling.Config{Burst: s.CeilingBurst},
+		Attempt: attempt.Config{
+			Silence:    s.Silence,
+			AskTimeout: s.AskTimeout,
+			RetryRatio: s.RetryRatio,
+			RetryBurst: s.RetryBurst,
+		},
+	}, store, view, agents, prometheus.NewRegistry())
+}
+
+type checkCommand struct {
+	settings.Entry
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	fmt.Println("the settings are good")
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,190 @@
+// Package entry is the process on an entry host. It builds the filters, takes
+// callers' requests over HTTP and writes their answers.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/authenticate"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
+	"github.com/acaciaglade/acaciaglade/pkg/fleet"
+	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/operator"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
+)
+
+// Headers of callers.
+const (
+	HeaderDeadline       = "X-Deadline-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "X-Request-Id"
+)
+
+// Config is the settings of an entry.
+type Config struct {
+	// Name is the name of the entry host.
+	Name string
+	// PeerToken is the shared secret of the system's processes.
+	PeerToken string
+	// OperatorToken is the operators' bearer token.
+	OperatorToken string
+	// MaxBodyBytes is the largest body of a request.
+	MaxBodyBytes int64
+	// Deadline, Ceiling and Attempt are the settings of the filters.
+	Deadline deadline.Config
+	Ceiling  ceiling.Config
+	Attempt  attempt.Config
+}
+
+// Entry serves callers and operators.
+type Entry struct {
+	cfg      Config
+	store    *tablestore.Store
+	fleet    *fleet.Fleet
+	chain    pipe.Handler
+	api      *operator.API
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	stopping atomic.Bool
+	log      *logrus.Entry
+}
+
+// New builds the filters of an entry.
+func New(cfg Config, store *tablestore.Store, f *fleet.Fleet, agents *peer.AgentClient, reg *prometheus.Registry) *Entry {
+	cfg.Ceiling.Entries = f.Entries
+	e := &Entry{
+		cfg:      cfg,
+		store:    store,
+		fleet:    f,
+		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f),
+		registry: reg,
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaglade_requests_total",
+			Help: "Requests of callers, by organisation and result.",
+		}, []string{"organisation", "result"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaglade_refusals_total",
+			Help: "Requests that were refused, by reason and whether they ran.",
+		}, []string{"reason", "ran"}),
+		log: logging.For("entry"),
+	}
+	reg.MustRegister(e.requests, e.refusals)
+	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
+	e.chain = ceiling.New(e.chain, cfg.Ceiling)
+	e.chain = deadline.New(e.chain, cfg.Deadline)
+	e.chain = authenticate.New(e.chain)
+	store.Subscribe(f.SetIndex)
+	return e
+}
+
+// Stop makes the entry refuse new requests. Running ones go on.
+func (e *Entry) Stop() { e.stopping.Store(true) }
+
+// Register adds the entry's routes to an HTTP server.
+func (e *Entry) Register(s *echo.Echo) {
+	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	s.GET("/readyz", e.ready)
+	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
+	s.GET(peer.PathTable, e.peerTable, peer.RequireToken(e.cfg.PeerToken))
+	e.api.Register(s)
+	s.POST("/v1/chat/completions", e.chat)
+	s.Any("/services/:service/*", e.plain)
+}
+
+func (e *Entry) ready(c echo.Context) error {
+	if e.store.Index() == nil || e.stopping.Load() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// peerTable gives the table to another entry.
+func (e *Entry) peerTable(c echo.Context) error {
+	ix := e.store.Index()
+	if ix == nil {
+		return c.JSON(http.StatusOK, &table.Table{})
+	}
+	return c.JSON(http.StatusOK, ix.Table())
+}
+
+// serve runs a request through the filters and answers refusals.
+func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
+	c.Response().Header().Set(HeaderRequestID, r.ID)
+	r.Reply = reply
+	err := e.chain.Serve(c.Request().Context(), r)
+	organisation := ""
+	if r.Organisation != nil {
+		organisation = r.Organisation.Name
+	}
+	if err == nil {
+		e.requests.WithLabelValues(organisation, "complete").Inc()
+		return nil
+	}
+	e.requests.WithLabelValues(organisation, "refused").Inc()
+	p := asProblem(err)
+	p.RequestID = r.ID
+	e.refusals.WithLabelValues(string(p.Reason), string(p.Ran)).Inc()
+	return reply.Refuse(p)
+}
+
+func asProblem(err error) *problem.Problem {
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return problem.New(problem.ReasonInternal, err.Error())
+}
+
+// newRequest reads what all requests have in common.
+func (e *Entry) newRequest(c echo.Context) (*pipe.Request, *problem.Problem) {
+	if e.stopping.Load() {
+		return nil, problem.New(problem.ReasonStopping, "")
+	}
+	ix := e.store.Index()
+	if ix == nil {
+		return nil, problem.New(problem.ReasonNotReady, "")
+	}
+	h := c.Request().Header
+	timeout, refusal := parseTimeout(h.Get(HeaderDeadline))
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := readBody(c, e.cfg.MaxBodyBytes)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return &pipe.Request{
+		ID:             uuid.NewString(),
+		Token:          pipe.BearerToken(h),
+		Index:          ix,
+		Method:         c.Request().Method,
+		ContentType:    h.Get(echo.HeaderContentType),
+		Body:           body,
+		IdempotencyKey: h.Get(HeaderIdempotencyKey),
+		Received:       time.Now(),
+		Timeout:        timeout,
+	}, nil
+}
+
+// Run follows the platform's store and the fleet until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	go e.store.Watch(ctx)
+	e.fleet.Run(ctx)
+}
--- /dev/null
+++ b/pkg/filter/attempt/attempt.go
@@ -0,0 +1,243 @@
+// Package attempt is the last filter of an entry: it sends a request to
+// upstreams, attempt after attempt, and relays the verified answer.
+package attempt
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/queue"
+	"github.com/acaciaglade/acaciaglade/pkg/fleet"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/retry"
+	"github.com/acaciaglade/acaciaglade/pkg/stream"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Config is the settings of the filter.
+type Config struct {
+	// Silence is how long a stream may be silent before it is given up.
+	Silence time.Duration
+	// AskTimeout bounds a question about the state of a request.
+	AskTimeout time.Duration
+	// RetryRatio is how many retries each request earns.
+	RetryRatio float64
+	// RetryBurst is the most retries that can be saved up.
+	RetryBurst float64
+}
+
+// Fleet is what the filter needs of the entry's view of upstreams.
+type Fleet interface {
+	queue.Source
+	Report(r api.Report)
+	Attain(service, organisation string, weight int, difference float64)
+}
+
+type filter struct {
+	cfg     Config
+	fleet   Fleet
+	agents  *peer.AgentClient
+	retries *prometheus.CounterVec
+
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// New returns the filter.
+func New(cfg Config, f Fleet, agents *peer.AgentClient, reg prometheus.Registerer) pipe.Handler {
+	retries := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "acaciaglade_retries_total",
+		Help: "Attempts after the first, by the reason of the retry.",
+	}, []string{"reason"})
+	reg.MustRegister(retries)
+	return &filter{
+		cfg:     cfg,
+		fleet:   f,
+		agents:  agents,
+		retries: retries,
+		budget:  retry.NewBudget(cfg.RetryRatio, cfg.RetryBurst),
+	}
+}
+
+// Serve implements pipe.Handler.
+func (f *filter) Serve(ctx context.Context, r *pipe.Request) error {
+	f.mu.Lock()
+	f.budget.Earn()
+	f.mu.Unlock()
+	j := &job{
+		filter:  f,
+		request: r,
+		state:   retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline},
+	}
+	defer func() {
+		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Spent-r.Cost)
+	}()
+	for {
+		upstream, err := queue.Acquire(ctx, f.fleet, r)
+		if err != nil {
+			return j.queueRefusal(err)
+		}
+		action, err := j.attempt(ctx, upstream)
+		if action != retry.Again {
+			return err
+		}
+		f.retries.WithLabelValues(j.reason()).Inc()
+	}
+}
+
+func (f *filter) next(state *retry.Request, event retry.EventKind) retry.Action {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return state.Next(event, f.budget, time.Now())
+}
+
+// job is one request with its attempts.
+type job struct {
+	*filter
+	request  *pipe.Request
+	state    retry.Request
+	verifier *stream.Verifier
+	attempts int
+	// refusal is the last refusal of an agent.
+	refusal *api.Refusal
+}
+
+// attempt runs one attempt to its end. It returns retry.Again when another one
+// is due, and otherwise what the caller is told.
+func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
+	j.attempts++
+	if !j.state.Relayed {
+		j.verifier = stream.NewVerifier(j.request.ID)
+	}
+	failed := true
+	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
+	event, err := j.send(ctx, u)
+	for {
+		if err != nil {
+			j.abandon(u)
+			return retry.Done, err
+		}
+		switch action := j.next(&j.state, event); action {
+		case retry.Ask:
+			event = j.ask(u)
+		case retry.Resume:
+			event, err = j.resume(ctx, u)
+		case retry.Done:
+			failed = false
+			return action, j.request.Reply.End()
+		case retry.Again:
+			return action, nil
+		default:
+			j.abandon(u)
+			return action, j.problem(action)
+		}
+	}
+}
+
+// send sends the attempt and relays its answer.
+func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
+	r := j.request
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	defer timer.Stop()
+	body, err := j.agents.Attempt(ctx, u.Address, &api.AttemptRequest{
+		RequestID:         r.ID,
+		Attempt:           j.attempts,
+		Incarnation:       u.Report.Incarnation,
+		Organisation:      r.Organisation.Name,
+		Service:           r.Service.Name,
+		Model:             r.Service.Kind == table.KindModel,
+		Priority:          r.Organisation.Priority,
+		Idempotent:        r.Idempotent,
+		IdempotencyKey:    r.IdempotencyKey,
+		DeadlineUnixMilli: r.Deadline.UnixMilli(),
+		Method:            r.Method,
+		Path:              r.Path,
+		ContentType:       r.ContentType,
+		Body:              r.Body,
+	})
+	if err != nil {
+		return sendEvent(err), nil
+	}
+	defer body.Close()
+	return j.relay(body, timer)
+}
+
+// resume reads the answer on from where it stopped, on a new connection.
+func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	defer timer.Stop()
+	body, err := j.agents.Resume(ctx, u.Address, j.request.ID, j.verifier.Next())
+	if err != nil {
+		return retry.Silent, nil
+	}
+	defer body.Close()
+	return j.relay(body, timer)
+}
+
+// ask asks the agent for the state of the request.
+func (j *job) ask(u fleet.Upstream) retry.EventKind {
+	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
+	defer cancel()
+	outcome, err := j.agents.Withdraw(ctx, u.Address, &api.WithdrawRequest{
+		RequestID:         j.request.ID,
+		Attempt:           j.attempts,
+		Incarnation:       u.Report.Incarnation,
+		DeadlineUnixMilli: j.request.Deadline.UnixMilli(),
+	})
+	if err != nil {
+		return retry.Unknown
+	}
+	return outcomeEvent(outcome)
+}
+
+// abandon tells the agent that nobody waits for the answer any more.
+func (j *job) abandon(u fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
+	defer cancel()
+	_ = j.agents.Cancel(ctx, u.Address, j.request.ID)
+}
+
+func (j *job) reason() string {
+	if j.refusal == nil {
+		return string(problem.ReasonOutcomeUnknown)
+	}
+	return j.refusal.Reason
+}
+
+// queueRefusal turns a refusal of the queue into what the caller is told.
+func (j *job) queueRefusal(err error) error {
+	if !j.state.MaybeRan {
+		return err
+	}
+	return j.problem(retry.RefuseUnknown)
+}
+
+// problem returns what the caller is told when the request is given up.
+func (j *job) problem(action retry.Action) error {
+	reason := problem.ReasonRetriesExhausted
+	detail := ""
+	if j.refusal != nil {
+		reason, detail = problem.Reason(j.refusal.Reason), j.refusal.Detail
+	}
+	switch action {
+	case retry.BreakOff:
+		return problem.New(problem.ReasonStreamBroken, detail)
+	case retry.RefuseUnknown:
+		if problem.New(reason, "").Ran == problem.RanNo {
+			reason = problem.ReasonOutcomeUnknown
+		}
+		return problem.New(reason, detail).WithRan(problem.RanUnknown)
+	default:
+		return problem.New(reason, detail).WithRan(problem.RanNo)
+	}
+}
--- /dev/null
+++ b/pkg/filter/deadline/deadline.go
@@ -0,0 +1,36 @@
+// Package deadline is the filter that gives each request its deadline.
+package deadline
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+)
+
+// Config is the settings of the filter.
+type Config struct {
+	// Default is the time limit of a request that names none.
+	Default time.Duration
+	// Max is the longest time limit that is accepted.
+	Max time.Duration
+}
+
+// New returns the filter.
+func New(next pipe.Handler, cfg Config) pipe.Handler {
+	return pipe.HandlerFunc(func(ctx context.Context, r *pipe.Request) error {
+		timeout := r.Timeout
+		if timeout == 0 {
+			timeout = cfg.Default
+		}
+		if timeout < 0 || timeout > cfg.Max {
+			return problem.New(problem.ReasonBadDeadline, fmt.Sprintf("allowed: 1 to %d", cfg.Max.Milliseconds()))
+		}
+		r.Deadline = r.Received.Add(timeout)
+		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+		return next.Serve(ctx, r)
+	})
+}
--- /dev/null
+++ b/pkg/filter/queue/queue.go
@@ -0,0 +1,32 @@
+// Package queue is the filter that makes a request wait for an upstream, in the
+// order that shares and priority give, before each of its attempts.
+package queue
+
+import (
+	"context"
+
+	"github.com/acaciaglade/acaciaglade/pkg/fleet"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/scheduler"
+)
+
+// Source hands out upstreams.
+type Source interface {
+	Acquire(ctx context.Context, r scheduler.Request) (fleet.Upstream, error)
+	Release(upstream string, failed bool)
+}
+
+// Acquire waits for an upstream for a request.
+func Acquire(ctx context.Context, source Source, r *pipe.Request) (fleet.Upstream, error) {
+	return source.Acquire(ctx, scheduler.Request{
+		ID:           r.ID,
+		Service:      r.Service.Name,
+		Organisation: r.Organisation.Name,
+		Weight:       r.Organisation.Weight,
+		Priority:     r.Organisation.Priority,
+		Cost:         r.Cost,
+		Deadline:     r.Deadline,
+	})
+}
+
+var _ Source = (*fleet.Fleet)(nil)
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,255 @@
+// Package fleet is an entry's view of its upstreams: it runs the scheduler,
+// reads the reports of agents, and hands out upstreams to requests.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/scheduler"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Config is the settings of a fleet view.
+type Config struct {
+	// ReportInterval is the time between two reports of an agent.
+	ReportInterval time.Duration
+	// HostsInterval is the time between two reads of the host list.
+	HostsInterval time.Duration
+	// MaxReportAge is the age beyond which a report is not used.
+	MaxReportAge time.Duration
+	// Seed seeds the choice of upstreams.
+	Seed uint64
+	// Scheduler is the settings of the scheduler.
+	Scheduler scheduler.Config
+}
+
+// Upstream is where a granted request goes.
+type Upstream struct {
+	Report  api.Report
+	Address string
+}
+
+// Fleet is an entry's view of its upstreams.
+type Fleet struct {
+	cfg    Config
+	list   *hosts.Client
+	agents *peer.AgentClient
+	log    *logrus.Entry
+
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	waiting   map[string]chan scheduler.Grant
+	addresses map[string]string
+	pollers   map[string]context.CancelFunc
+	entries   int
+	index     *table.Index
+}
+
+// New returns a fleet view. Run must be called for it to see upstreams.
+func New(cfg Config, list *hosts.Client, agents *peer.AgentClient) *Fleet {
+	policy := &selection.TwoChoices{MaxAge: cfg.MaxReportAge, Rand: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	return &Fleet{
+		cfg:       cfg,
+		list:      list,
+		agents:    agents,
+		log:       logging.For("fleet"),
+		scheduler: scheduler.New(cfg.Scheduler, policy),
+		waiting:   make(map[string]chan scheduler.Grant),
+		addresses: make(map[string]string),
+		pollers:   make(map[string]context.CancelFunc),
+		entries:   1,
+	}
+}
+
+// Run reads the host list and expires waiting requests until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	list := time.NewTicker(f.cfg.HostsInterval)
+	defer list.Stop()
+	tick := time.NewTicker(f.cfg.ReportInterval / 4)
+	defer tick.Stop()
+	f.readHosts(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-list.C:
+			f.readHosts(ctx)
+		case now := <-tick.C:
+			f.mu.Lock()
+			f.deliver(f.scheduler.Tick(now))
+			f.mu.Unlock()
+		}
+	}
+}
+
+// SetIndex takes a new version of the table.
+func (f *Fleet) SetIndex(ix *table.Index) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index = ix
+	f.deliver(f.scheduler.SetOut(ix.Out, time.Now()))
+}
+
+// Entries returns the number of entry hosts in the host list.
+func (f *Fleet) Entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries
+}
+
+// Acquire waits for an upstream for a request.
+func (f *Fleet) Acquire(ctx context.Context, r scheduler.Request) (Upstream, error) {
+	granted := make(chan scheduler.Grant, 1)
+	f.mu.Lock()
+	f.waiting[r.ID] = granted
+	f.deliver(f.scheduler.Arrive(r, time.Now()))
+	f.mu.Unlock()
+	select {
+	case g := <-granted:
+		return f.upstream(g)
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	f.scheduler.Cancel(r.Service, r.ID)
+	delete(f.waiting, r.ID)
+	f.mu.Unlock()
+	select {
+	case g := <-granted:
+		return f.upstream(g)
+	default:
+		return Upstream{}, problem.New(problem.ReasonDeadlineExceeded, "")
+	}
+}
+
+// Release gives back an upstream after an attempt.
+func (f *Fleet) Release(upstream string, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deliver(f.scheduler.Ended(upstream, failed, time.Now()))
+}
+
+// Report takes a report that came with an answer.
+func (f *Fleet) Report(r api.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deliver(f.scheduler.Report(r, time.Now()))
+	if f.index != nil && f.index.Out(r.Upstream, r.FailureDomain) {
+		f.deliver(f.scheduler.SetOut(f.index.Out, time.Now()))
+	}
+}
+
+// Attain corrects an organisation's share after a request.
+func (f *Fleet) Attain(service, organisation string, weight int, difference float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.scheduler.Attain(service, organisation, weight, difference)
+}
+
+// Candidates returns the upstreams of a service as this entry sees them.
+func (f *Fleet) Candidates(service string) []selection.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.scheduler.Candidates(service)
+}
+
+func (f *Fleet) upstream(g scheduler.Grant) (Upstream, error) {
+	if g.Refusal != nil {
+		return Upstream{}, g.Refusal
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Upstream{Report: g.Upstream, Address: f.addresses[g.Upstream.Upstream]}, nil
+}
+
+// deliver hands grants to the waiting requests. The caller holds the lock.
+func (f *Fleet) deliver(grants []scheduler.Grant) {
+	for _, g := range grants {
+		f.waiting[g.ID] <- g
+		delete(f.waiting, g.ID)
+	}
+}
+
+// readHosts starts and stops the pollers of agents to match the host list.
+func (f *Fleet) readHosts(ctx context.Context) {
+	list, err := f.list.List(ctx)
+	if err != nil {
+		f.log.WithError(err).Warn("host list not read")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := 0
+	current := make(map[string]bool, len(list))
+	for _, h := range list {
+		if h.Role == hosts.RoleEntry {
+			entries++
+			continue
+		}
+		current[h.Name] = true
+		f.addresses[h.Name] = h.Address
+		f.startPoller(ctx, h.Name)
+	}
+	f.entries = max(1, entries)
+	for name, stop := range f.pollers {
+		if !current[name] {
+			stop()
+			delete(f.pollers, name)
+		}
+	}
+}
+
+func (f *Fleet) startPoller(ctx context.Context, name string) {
+	if _, ok := f.pollers[name]; ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.pollers[name] = cancel
+	go f.poll(ctx, name)
+}
+
+// poll reads an agent's reports and brings it newer marks until ctx ends.
+func (f *Fleet) poll(ctx context.Context, name string) {
+	ticker := time.NewTicker(f.cfg.ReportInterval)
+	defer ticker.Stop()
+	var known uint64
+	for {
+		known = f.pollOnce(ctx, name, known)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pollOnce returns the version of the marks that the agent has in force.
+func (f *Fleet) pollOnce(ctx context.Context, name string, known uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReportInterval)
+	defer cancel()
+	f.mu.Lock()
+	address, index := f.addresses[name], f.index
+	f.mu.Unlock()
+	req := &api.ReportRequest{}
+	if index != nil && index.Table().Version > known {
+		marks := index.Table().Marks()
+		req.Marks = &marks
+	}
+	report, err := f.agents.Report(ctx, address, req)
+	if err != nil {
+		f.log.WithError(err).WithField("upstream", name).Debug("no report")
+		return known
+	}
+	f.Report(report)
+	return report.MarksVersion
+}
--- /dev/null
+++ b/pkg/objects/objects.go
@@ -0,0 +1,192 @@
+// Package objects is the client of the platform's object API: named JSON
+// objects with versions, conditional updates and watches.
+//
+// The API follows the resource conventions of Kubernetes custom resources:
+// objects carry metadata.name and metadata.resourceVersion, a create of an
+// existing object and an update with an old version are answered with 409, and
+// a watch is a stream of JSON lines.
+package objects
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// BasePath is the path below which kinds of object are served.
+const BasePath = "/apis/acaciaglade.io/v1"
+
+// MaxValueBytes is the largest size of an object.
+const MaxValueBytes = 1 << 20
+
+// Errors of the object API. Their messages name the remedy.
+var (
+	ErrNotFound    = errors.New("object not found; create it first")
+	ErrConflict    = errors.New("object has another version; read it again and redo the change")
+	ErrExists      = errors.New("object exists; read it and decide whether it is one's own")
+	ErrUnavailable = errors.New("object API unavailable; the write may have taken effect, so read the object before trying again")
+)
+
+// Metadata names an object and its version.
+type Metadata struct {
+	Name            string `json:"name"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+// Object is a stored object.
+type Object struct {
+	Kind     string          `json:"kind"`
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+// Event is one line of a watch.
+type Event struct {
+	// Type is "ADDED", "MODIFIED" or "DELETED".
+	Type   string `json:"type"`
+	Object Object `json:"object"`
+}
+
+// Store is what the system needs of the object API.
+type Store interface {
+	// Get reads an object.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Create writes a new object. It returns ErrExists when there is one.
+	Create(ctx context.Context, kind, name string, spec any) (Object, error)
+	// Update writes an object if it still has the given version. It returns
+	// ErrConflict when it has another one.
+	Update(ctx context.Context, kind, name, version string, spec any) (Object, error)
+	// Watch calls fn for each change of a kind until ctx ends or the watch
+	// breaks. It starts with the current objects.
+	Watch(ctx context.Context, kind string, fn func(Event)) error
+}
+
+// Client is a Store over HTTP.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+// NewClient returns a client of the object API at a base URL. timeout bounds
+// each call but watches.
+func NewClient(base string, timeout time.Duration) *Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &Client{base: base + BasePath, http: &http.Client{Transport: transport}, timeout: timeout}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	return c.call(ctx, http.MethodGet, kind, name, nil)
+}
+
+// Create implements Store.
+func (c *Client) Create(ctx context.Context, kind, name string, spec any) (Object, error) {
+	in, err := newObject(kind, name, "", spec)
+	if err != nil {
+		return Object{}, err
+	}
+	out, err := c.call(ctx, http.MethodPost, kind, "", in)
+	if errors.Is(err, ErrConflict) {
+		return Object{}, ErrExists
+	}
+	return out, err
+}
+
+// Update implements Store.
+func (c *Client) Update(ctx context.Context, kind, name, version string, spec any) (Object, error) {
+	o, err := newObject(kind, name, version, spec)
+	if err != nil {
+		return Object{}, err
+	}
+	return c.call(ctx, http.MethodPut, kind, name, o)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, kind string, fn func(Event)) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/"+kind+"?watch=1", nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Wrapf(ErrUnavailable, "watch answered %d", resp.StatusCode)
+	}
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var e Event
+		if err := dec.Decode(&e); err != nil {
+			return errors.Wrap(ErrUnavailable, err.Error())
+		}
+		fn(e)
+	}
+}
+
+func newObject(kind, name, version string, spec any) (*Object, error) {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &Object{Kind: kind, Metadata: Metadata{Name: name, ResourceVersion: version}, Spec: raw}, nil
+}
+
+func (c *Client) call(ctx context.Context, method, kind, name string, in *Object) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	target := c.base + "/" + kind
+	if name != "" {
+		target += "/" + url.PathEscape(name)
+	}
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return Object{}, errors.WithStack(err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return Object{}, errors.WithStack(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Object{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return Object{}, err
+	}
+	var out Object
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 2*MaxValueBytes)).Decode(&out); err != nil {
+		return Object{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return out, nil
+}
+
+func statusError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict:
+		return ErrConflict
+	default:
+		return errors.Wrap(ErrUnavailable, fmt.Sprintf("status %d", status))
+	}
+}
+
+var _ Store = (*Client)(nil)
--- /dev/null
+++ b/pkg/operator/client.go
@@ -0,0 +1,97 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Client calls the operators' API of an entry.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// clientTimeout bounds each call.
+const clientTimeout = 10 * time.Second
+
+// NewClient returns a client of the entry at a base URL.
+func NewClient(base, token string) *Client {
+	return &Client{base: base + "/operator/v1", token: token, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Table reads the table.
+func (c *Client) Table(ctx context.Context) (*table.Table, error) {
+	var t table.Table
+	return &t, c.call(ctx, http.MethodGet, "/table", nil, &t)
+}
+
+// PutTable replaces the table. It returns the accepted table.
+func (c *Client) PutTable(ctx context.Context, t *table.Table) (*table.Table, error) {
+	var accepted table.Table
+	return &accepted, c.call(ctx, http.MethodPut, "/table", t, &accepted)
+}
+
+// MarkFailureDomain marks a failure domain "out" or "in".
+func (c *Client) MarkFailureDomain(ctx context.Context, name, mark string) (*table.Table, error) {
+	var accepted table.Table
+	return &accepted, c.call(ctx, http.MethodPut, "/failure-domains/"+url.PathEscape(name)+"/"+mark, nil, &accepted)
+}
+
+// MarkUpstream marks an upstream "out" or "in".
+func (c *Client) MarkUpstream(ctx context.Context, name, mark string) (*table.Table, error) {
+	var accepted table.Table
+	return &accepted, c.call(ctx, http.MethodPut, "/upstreams/"+url.PathEscape(name)+"/"+mark, nil, &accepted)
+}
+
+// Status reads the status of the fleet.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	var s Status
+	return &s, c.call(ctx, http.MethodGet, "/status", nil, &s)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "entry can't be reached; try another --entry")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return readProblem(resp)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "answer can't be read; check that --entry is an entry")
+}
+
+func readProblem(resp *http.Response) error {
+	var p TableProblem
+	if err := json.NewDecoder(resp.Body).Decode(&p); err != nil || p.Problem == nil {
+		return errors.Errorf("entry answered %d; check that --entry is an entry", resp.StatusCode)
+	}
+	if len(p.Faults) > 0 {
+		return p.Faults
+	}
+	return p.Problem
+}
--- /dev/null
+++ b/pkg/operator/operator.go
@@ -0,0 +1,213 @@
+// Package operator serves the operators' HTTP API: the table with its versions,
+// the marks of failure domains and upstreams, and the status of the fleet.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
+)
+
+// Fleet is what the operators see of an entry's upstreams.
+type Fleet interface {
+	Candidates(service string) []selection.Candidate
+}
+
+// Config is the settings of the operators' API.
+type Config struct {
+	// Token is the operators' bearer token.
+	Token string
+	// Entry is the name of this entry.
+	Entry string
+}
+
+// API is the operators' API.
+type API struct {
+	cfg   Config
+	store *tablestore.Store
+	fleet Fleet
+}
+
+// New returns the operators' API.
+func New(cfg Config, store *tablestore.Store, fleet Fleet) *API {
+	return &API{cfg: cfg, store: store, fleet: fleet}
+}
+
+// Register adds the API's routes to an HTTP server.
+func (a *API) Register(e *echo.Echo) {
+	g := e.Group("/operator/v1", a.authorise)
+	g.GET("/table", a.getTable)
+	g.PUT("/table", a.putTable)
+	g.PUT("/failure-domains/:name/:mark", a.markFailureDomain)
+	g.PUT("/upstreams/:name/:mark", a.markUpstream)
+	g.GET("/status", a.status)
+}
+
+func (a *API) authorise(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		got := pipe.BearerToken(c.Request().Header)
+		if subtle.ConstantTimeCompare([]byte(got), []byte(a.cfg.Token)) != 1 {
+			return WriteProblem(c, problem.New(problem.ReasonOperatorUnauthorised, ""))
+		}
+		return next(c)
+	}
+}
+
+// WriteProblem answers with a problem document.
+func WriteProblem(c echo.Context, p *problem.Problem) error {
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return c.Blob(p.Status, problem.ContentType, raw)
+}
+
+func (a *API) getTable(c echo.Context) error {
+	ix := a.store.Index()
+	if ix == nil {
+		return c.JSON(http.StatusOK, &table.Table{})
+	}
+	return c.JSON(http.StatusOK, ix.Table())
+}
+
+// putTable replaces the whole table. Its version must be the one that was read.
+func (a *API) putTable(c echo.Context) error {
+	var t table.Table
+	if err := json.NewDecoder(c.Request().Body).Decode(&t); err != nil {
+		return WriteProblem(c, problem.New(problem.ReasonBadRequest, err.Error()))
+	}
+	if faults := table.Check(&t); faults != nil {
+		return c.JSON(http.StatusUnprocessableEntity, TableProblem{
+			Problem: problem.New(problem.ReasonInvalidTable, ""), Faults: faults,
+		})
+	}
+	return a.change(c, func(current *table.Table) (*table.Table, *problem.Problem) {
+		if current.Version != t.Version {
+			return nil, problem.New(problem.ReasonVersionConflict, "")
+		}
+		return &t, nil
+	})
+}
+
+// TableProblem is a refusal of a table with its bad cells.
+type TableProblem struct {
+	*problem.Problem
+	Faults table.Faults `json:"faults"`
+}
+
+func (a *API) markFailureDomain(c echo.Context) error {
+	out, ok := parseMark(c.Param("mark"))
+	if !ok {
+		return WriteProblem(c, problem.New(problem.ReasonNotFound, "the mark is out or in"))
+	}
+	return a.change(c, func(t *table.Table) (*table.Table, *problem.Problem) {
+		if !t.SetFailureDomain(c.Param("name"), out) {
+			return nil, problem.New(problem.ReasonNotFound, "no such failure domain")
+		}
+		return t, nil
+	})
+}
+
+func (a *API) markUpstream(c echo.Context) error {
+	out, ok := parseMark(c.Param("mark"))
+	if !ok {
+		return WriteProblem(c, problem.New(problem.ReasonNotFound, "the mark is out or in"))
+	}
+	return a.change(c, func(t *table.Table) (*table.Table, *problem.Problem) {
+		t.SetUpstream(c.Param("name"), out)
+		return t, nil
+	})
+}
+
+func parseMark(mark string) (out, ok bool) {
+	return mark == "out", mark == "out" || mark == "in"
+}
+
+// changeTimeout bounds a change of the table.
+const changeTimeout = 5 * time.Second
+
+// change reads the table, applies an edit, and writes it.
+func (a *API) change(c echo.Context, edit func(*table.Table) (*table.Table, *problem.Problem)) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), changeTimeout)
+	defer cancel()
+	current, version, err := a.store.Read(ctx)
+	if err != nil {
+		return WriteProblem(c, problem.New(problem.ReasonStoreUnavailable, err.Error()))
+	}
+	edited, refusal := edit(current.Clone())
+	if refusal != nil {
+		return WriteProblem(c, refusal)
+	}
+	switch err := a.store.Write(ctx, edited, version); {
+	case errors.Is(err, objects.ErrConflict):
+		return WriteProblem(c, problem.New(problem.ReasonVersionConflict, ""))
+	case err != nil:
+		return WriteProblem(c, problem.New(problem.ReasonStoreUnavailable, err.Error()))
+	}
+	return c.JSON(http.StatusOK, edited)
+}
+
+// UpstreamStatus is what an entry knows of one upstream.
+type UpstreamStatus struct {
+	Upstream      string `json:"upstream"`
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure_domain"`
+	Limit         int    `json:"limit"`
+	Running       int    `json:"running"`
+	Ready         bool   `json:"ready"`
+	Leaving       bool   `json:"leaving"`
+	Out           bool   `json:"out"`
+	MarksVersion  uint64 `json:"marks_version"`
+	// ReportAgeMillis is the age of the newest report in milliseconds.
+	ReportAgeMillis int64 `json:"report_age_millis"`
+}
+
+// Status is what an entry knows of the fleet.
+type Status struct {
+	Entry        string           `json:"entry"`
+	TableVersion uint64           `json:"table_version"`
+	Upstreams    []UpstreamStatus `json:"upstreams"`
+}
+
+func (a *API) status(c echo.Context) error {
+	s := Status{Entry: a.cfg.Entry, Upstreams: []UpstreamStatus{}}
+	ix := a.store.Index()
+	if ix == nil {
+		return c.JSON(http.StatusOK, s)
+	}
+	s.TableVersion = ix.Table().Version
+	now := time.Now()
+	for _, svc := range ix.Table().Services {
+		for _, candidate := range a.fleet.Candidates(svc.Name) {
+			s.Upstreams = append(s.Upstreams, upstreamStatus(&candidate, now))
+		}
+	}
+	return c.JSON(http.StatusOK, s)
+}
+
+func upstreamStatus(c *selection.Candidate, now time.Time) UpstreamStatus {
+	return UpstreamStatus{
+		Upstream:        c.Report.Upstream,
+		Service:         c.Report.Service,
+		FailureDomain:   c.Report.FailureDomain,
+		Limit:           c.Report.Limit,
+		Running:         c.Report.Running,
+		Ready:           c.Report.Ready,
+		Leaving:         c.Report.Leaving,
+		Out:             c.Out,
+		MarksVersion:    c.Report.MarksVersion,
+		ReportAgeMillis: now.Sub(c.ReceivedAt).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/pkg/peer/agent_client.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// Paths of an agent's API.
+const (
+	PathAttempts = "/v1/attempts"
+	PathWithdraw = "/v1/withdraw"
+	PathReport   = "/v1/report"
+	PathTable    = "/v1/table"
+)
+
+// ErrNotSent means that no byte of a call left this process.
+var ErrNotSent = errors.New("no connection to the agent; the attempt was not sent and may be sent elsewhere")
+
+// AgentClient calls agents.
+type AgentClient struct {
+	token  string
+	stream *http.Client
+	fresh  *http.Client
+}
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = time.Second
+
+// NewAgentClient returns a client that authenticates with the shared secret.
+func NewAgentClient(token string) *AgentClient {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	single := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &AgentClient{
+		token:  token,
+		stream: &http.Client{Transport: pooled},
+		fresh:  &http.Client{Transport: single},
+	}
+}
+
+// Attempt sends an attempt and returns the stream of its answer.
+func (c *AgentClient) Attempt(ctx context.Context, address string, a *api.AttemptRequest) (io.ReadCloser, error) {
+	return c.open(ctx, c.stream, http.MethodPost, address+PathAttempts, a)
+}
+
+// Resume reads the answer of a request from a data frame on, on a new
+// connection.
+func (c *AgentClient) Resume(ctx context.Context, address, requestID string, from int) (io.ReadCloser, error) {
+	target := fmt.Sprintf("%s%s/%s?from=%d", address, PathAttempts, url.PathEscape(requestID), from)
+	return c.open(ctx, c.fresh, http.MethodGet, target, nil)
+}
+
+// Cancel tells an agent that nobody waits for a request any more.
+func (c *AgentClient) Cancel(ctx context.Context, address, requestID string) error {
+	body, err := c.open(ctx, c.fresh, http.MethodDelete, address+PathAttempts+"/"+url.PathEscape(requestID), nil)
+	if err != nil {
+		return err
+	}
+	return body.Close()
+}
+
+// Withdraw asks for the state of a request on a new connection, and stops it
+// from starting if it has not.
+func (c *AgentClient) Withdraw(ctx context.Context, address string, w *api.WithdrawRequest) (api.Outcome, error) {
+	var reply api.WithdrawReply
+	err := c.call(ctx, c.fresh, address+PathWithdraw, w, &reply)
+	return reply.Outcome, err
+}
+
+// Report asks an agent for its report, and brings it newer marks.
+func (c *AgentClient) Report(ctx context.Context, address string, r *api.ReportRequest) (api.Report, error) {
+	var report api.Report
+	err := c.call(ctx, c.stream, address+PathReport, r, &report)
+	return report, err
+}
+
+func (c *AgentClient) call(ctx context.Context, client *http.Client, target string, in, out any) error {
+	body, err := c.open(ctx, client, http.MethodPost, target, in)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	return errors.Wrap(json.NewDecoder(body).Decode(out), "answer can't be read; ask again")
+}
+
+func (c *AgentClient) open(ctx context.Context, client *http.Client, method, target string, in any) (io.ReadCloser, error) {
+	var reader io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		reader = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, reader)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.Header.Set(api.HeaderPeerToken, c.token)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, errors.Errorf("%s answered %d; check that both have the same peer token and release", target, resp.StatusCode)
+	}
+	return resp.Body, nil
+}
+
+// sendError tells a failure to connect from one after bytes were sent.
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/pkg/pipe/pipe.go
@@ -0,0 +1,81 @@
+// Package pipe defines the request that flows through an entry's filters and
+// the interface of the filters. A request flows one way, from filter to filter;
+// the answer flows back through the request's Reply.
+package pipe
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Request is one caller's request on its way through the filters.
+type Request struct {
+	// ID names the request in logs, answers and attempts.
+	ID string
+	// Token is the caller's bearer token.
+	Token string
+	// Index is the table in force when the request arrived.
+	Index *table.Index
+	// Organisation is set by the authenticate filter.
+	Organisation *table.Organisation
+	// Service is the service that is called.
+	Service *table.Service
+	// Method, Path, ContentType and Body are those of the upstream's call.
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// IdempotencyKey is the caller's key, empty when none was given.
+	IdempotencyKey string
+	// Idempotent is true when the work may be repeated.
+	Idempotent bool
+	// Received is when the request arrived.
+	Received time.Time
+	// Timeout is the caller's time limit, 0 when none was given.
+	Timeout time.Duration
+	// Deadline is set by the deadline filter.
+	Deadline time.Time
+	// Cost is the expected cost in tokens.
+	Cost float64
+	// Spent is the real cost in tokens, counted while the answer is relayed.
+	Spent float64
+	// Reply takes the answer.
+	Reply Reply
+}
+
+// Reply takes the parts of an answer in order.
+type Reply interface {
+	// Head takes the status and media type of the answer. Until the first part
+	// is taken, a later head replaces it.
+	Head(status int, contentType string) error
+	// Data takes the next part of the answer.
+	Data(part []byte) error
+	// End is called once the whole answer was taken and verified.
+	End() error
+}
+
+// Handler serves a request. A returned error is usually a *problem.Problem.
+type Handler interface {
+	Serve(ctx context.Context, r *Request) error
+}
+
+// HandlerFunc is a function that is a Handler.
+type HandlerFunc func(ctx context.Context, r *Request) error
+
+// Serve implements Handler.
+func (f HandlerFunc) Serve(ctx context.Context, r *Request) error { return f(ctx, r) }
+
+var _ Handler = HandlerFunc(nil)
+
+// BearerToken returns the bearer token of an HTTP request, or "".
+func BearerToken(h http.Header) string {
+	const scheme = "Bearer "
+	v := h.Get("Authorization")
+	if len(v) <= len(scheme) || v[:len(scheme)] != scheme {
+		return ""
+	}
+	return v[len(scheme):]
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,28 @@
+package retry
+
+// Budget bounds retries to a fraction of the requests, so that failing
+// upstreams don't cause a storm of attempts.
+type Budget struct {
+	// ratio is how many retries each request earns.
+	ratio float64
+	// burst is the most retries that can be saved up.
+	burst  float64
+	tokens float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, burst: burst, tokens: burst}
+}
+
+// Earn adds the retries that one request earns.
+func (b *Budget) Earn() { b.tokens = min(b.burst, b.tokens+b.ratio) }
+
+// Spend takes one retry. It reports false when none is left.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/pkg/retry/retry.go
@@ -0,0 +1,133 @@
+// Package retry decides what follows when an attempt ends or goes silent. It is
+// pure.
+//
+// Only the word of the agent, or the entry's knowledge that no byte of the
+// attempt was sent, makes an attempt "not run". Work that is not idempotent is
+// retried after a true "not run" alone. Idempotent work is also retried after an
+// unknown outcome, as long as no part of an answer has been relayed.
+package retry
+
+import (
+	"time"
+)
+
+// EventKind tells the ends of an attempt apart.
+type EventKind int
+
+// Kinds of events.
+const (
+	// NotRun means that the attempt did not run and never will.
+	NotRun EventKind = iota
+	// Silent means that the stream broke or went silent.
+	Silent
+	// Running means that the agent says, when asked, that the attempt runs or
+	// has finished.
+	Running
+	// Unknown means that it can't be told whether the attempt ran.
+	Unknown
+	// Complete means that the whole answer was relayed.
+	Complete
+)
+
+// Action is what the entry does next.
+type Action int
+
+// Actions.
+const (
+	// Done ends the request with its whole answer.
+	Done Action = iota
+	// Ask asks the agent on a new connection for the state of the request.
+	Ask
+	// Resume reads the answer on a new connection from where it stopped.
+	Resume
+	// Again sends a new attempt.
+	Again
+	// RefuseNotRun answers that the request did not run.
+	RefuseNotRun
+	// RefuseUnknown answers that the outcome is unknown.
+	RefuseUnknown
+	// BreakOff ends an answer that was partly relayed with an error.
+	BreakOff
+)
+
+// Request is the state of one request at the entry.
+type Request struct {
+	// Idempotent is true when the work may be repeated.
+	Idempotent bool
+	// Deadline is when the caller no longer waits.
+	Deadline time.Time
+	// Relayed is true once a part of an answer has been relayed.
+	Relayed bool
+	// MaybeRan is true once an attempt of the request had an unknown outcome.
+	MaybeRan bool
+	// Resumes counts the resumes in a row that relayed nothing new.
+	Resumes int
+}
+
+// maxResumes is the largest number of resumes in a row without progress.
+const maxResumes = 3
+
+// Next returns the action that follows an event.
+func (r *Request) Next(event EventKind, budget *Budget, now time.Time) Action {
+	switch event {
+	case Complete:
+		return Done
+	case Silent:
+		return r.silent(now)
+	case Running:
+		return r.running(now)
+	case NotRun:
+		return r.again(budget, now)
+	default:
+		return r.unknown(budget, now)
+	}
+}
+
+func (r *Request) silent(now time.Time) Action {
+	if !now.Before(r.Deadline) {
+		r.MaybeRan = true
+		return r.refusal()
+	}
+	return Ask
+}
+
+func (r *Request) running(now time.Time) Action {
+	r.Resumes++
+	if r.Resumes > maxResumes || !now.Before(r.Deadline) {
+		r.MaybeRan = true
+		return r.refusal()
+	}
+	return Resume
+}
+
+func (r *Request) unknown(budget *Budget, now time.Time) Action {
+	r.MaybeRan = true
+	if !r.Idempotent || r.Relayed {
+		return r.refusal()
+	}
+	return r.again(budget, now)
+}
+
+func (r *Request) again(budget *Budget, now time.Time) Action {
+	if r.Relayed || !now.Before(r.Deadline) || !budget.Spend() {
+		return r.refusal()
+	}
+	return Again
+}
+
+// Progress records that a new part of the answer was relayed.
+func (r *Request) Progress() {
+	r.Relayed = true
+	r.Resumes = 0
+}
+
+func (r *Request) refusal() Action {
+	switch {
+	case r.Relayed:
+		return BreakOff
+	case r.MaybeRan:
+		return RefuseUnknown
+	default:
+		return RefuseNotRun
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/scheduler.go
@@ -0,0 +1,197 @@
+// Package scheduler decides at an entry which waiting request goes to which
+// upstream next. It joins the fair queue of each service with the selection of
+// upstreams. It is pure: events and the time go in, grants come out.
+//
+// A request stays in the queue, where it has certainly not run, until an
+// upstream of its service has room.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/fairqueue"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
+)
+
+// Config is the settings of a scheduler.
+type Config struct {
+	// MaxWaiting is the most requests that one organisation may have waiting
+	// for one service.
+	MaxWaiting int
+	// AvoidAfterFailure is how long an upstream is passed over after a failure.
+	AvoidAfterFailure time.Duration
+}
+
+// Grant gives a waiting request its upstream, or refuses it.
+type Grant struct {
+	ID string
+	// Upstream is set when the request is to be sent.
+	Upstream api.Report
+	// Refusal is set when the request is refused.
+	Refusal *problem.Problem
+}
+
+// Request is a request that asks for an upstream.
+type Request struct {
+	ID           string
+	Service      string
+	Organisation string
+	Weight       int
+	Priority     bool
+	Cost         float64
+	Deadline     time.Time
+}
+
+// Scheduler is the state of one entry.
+type Scheduler struct {
+	cfg      Config
+	policy   selection.Policy
+	services map[string]*service
+	upstream map[string]*service
+}
+
+// service is the queue and the upstreams of one service.
+type service struct {
+	queue      *fairqueue.Queue
+	candidates []selection.Candidate
+}
+
+// New returns an empty scheduler.
+func New(cfg Config, policy selection.Policy) *Scheduler {
+	return &Scheduler{
+		cfg:      cfg,
+		policy:   policy,
+		services: make(map[string]*service),
+		upstream: make(map[string]*service),
+	}
+}
+
+// Arrive queues a request and returns the grants that follow.
+func (s *Scheduler) Arrive(r Request, now time.Time) []Grant {
+	svc := s.service(r.Service)
+	if !r.Priority && svc.queue.Waiting(r.Organisation) >= s.cfg.MaxWaiting {
+		return []Grant{{ID: r.ID, Refusal: problem.New(problem.ReasonQueueFull, "")}}
+	}
+	svc.queue.Push(&fairqueue.Item{
+		ID:           r.ID,
+		Organisation: r.Organisation,
+		Weight:       r.Weight,
+		Priority:     r.Priority,
+		Cost:         r.Cost,
+		Deadline:     r.Deadline,
+	})
+	return svc.grants(s.policy, now)
+}
+
+// Cancel removes a waiting request.
+func (s *Scheduler) Cancel(serviceName, id string) { s.service(serviceName).queue.Remove(id) }
+
+// Report takes an agent's report and returns the grants that follow. A report
+// older than the one held is dropped.
+func (s *Scheduler) Report(r api.Report, now time.Time) []Grant {
+	svc := s.service(r.Service)
+	c := svc.candidate(r.Upstream)
+	if c == nil {
+		svc.candidates = append(svc.candidates, selection.Candidate{})
+		c = &svc.candidates[len(svc.candidates)-1]
+		s.upstream[r.Upstream] = svc
+	}
+	if c.Report.Incarnation == r.Incarnation && r.Sequence <= c.Report.Sequence {
+		return nil
+	}
+	c.Report = r
+	c.ReceivedAt = now
+	c.SinceReport = 0
+	return svc.grants(s.policy, now)
+}
+
+// Ended records that an attempt at an upstream has ended. failed is true when
+// the attempt broke or was refused.
+func (s *Scheduler) Ended(upstream string, failed bool, now time.Time) []Grant {
+	svc, ok := s.upstream[upstream]
+	if !ok {
+		return nil
+	}
+	c := svc.candidate(upstream)
+	c.InFlight--
+	c.SinceReport = max(0, c.SinceReport-1)
+	if failed {
+		c.AvoidUntil = now.Add(s.cfg.AvoidAfterFailure)
+	}
+	return svc.grants(s.policy, now)
+}
+
+// Attain corrects an organisation's share by the difference between the real
+// and the expected cost of a request.
+func (s *Scheduler) Attain(serviceName, organisation string, weight int, difference float64) {
+	s.service(serviceName).queue.Attain(organisation, weight, difference)
+}
+
+// SetOut takes the marks of a new table version.
+func (s *Scheduler) SetOut(out func(upstream, domain string) bool, now time.Time) []Grant {
+	var grants []Grant
+	for _, svc := range s.services {
+		for i := range svc.candidates {
+			c := &svc.candidates[i]
+			c.Out = out(c.Report.Upstream, c.Report.FailureDomain)
+		}
+		grants = append(grants, svc.grants(s.policy, now)...)
+	}
+	return grants
+}
+
+// Tick refuses requests that have waited until their deadline, and grants what
+// has become possible by the passing of time.
+func (s *Scheduler) Tick(now time.Time) []Grant {
+	var grants []Grant
+	for _, svc := range s.services {
+		for _, it := range svc.queue.Expire(now) {
+			grants = append(grants, Grant{ID: it.ID, Refusal: problem.New(problem.ReasonDeadlineExceeded, "")})
+		}
+		grants = append(grants, svc.grants(s.policy, now)...)
+	}
+	return grants
+}
+
+// Candidates returns a copy of the upstreams of a service as this entry sees
+// them.
+func (s *Scheduler) Candidates(serviceName string) []selection.Candidate {
+	return append([]selection.Candidate(nil), s.service(serviceName).candidates...)
+}
+
+func (s *Scheduler) service(name string) *service {
+	svc, ok := s.services[name]
+	if !ok {
+		svc = &service{queue: fairqueue.New()}
+		s.services[name] = svc
+	}
+	return svc
+}
+
+func (svc *service) candidate(upstream string) *selection.Candidate {
+	for i := range svc.candidates {
+		if svc.candidates[i].Report.Upstream == upstream {
+			return &svc.candidates[i]
+		}
+	}
+	return nil
+}
+
+// grants hands out upstreams while both a request and an upstream are there.
+func (svc *service) grants(policy selection.Policy, now time.Time) []Grant {
+	var grants []Grant
+	for svc.queue.Len() > 0 {
+		i := policy.Choose(svc.candidates, now)
+		if i < 0 {
+			return grants
+		}
+		it := svc.queue.Pop()
+		c := &svc.candidates[i]
+		c.InFlight++
+		c.SinceReport++
+		grants = append(grants, Grant{ID: it.ID, Upstream: c.Report})
+	}
+	return grants
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,179 @@
+// Package settings defines the flags and environment variables of both programs
+// and their checks. All faults are reported together.
+package settings
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Logs is the settings of the logs.
+type Logs struct {
+	Format string `long:"log-format" env:"ACACIAGLADE_LOG_FORMAT" default:"text" description:"Format of the logs: text or json."`
+	Level  string `long:"log-level" env:"ACACIAGLADE_LOG_LEVEL" default:"info" description:"Lowest level that is logged: debug, info, warning or error."`
+}
+
+// TLS is the certificate of a server.
+type TLS struct {
+	Certificate string `long:"tls-certificate" env:"ACACIAGLADE_TLS_CERTIFICATE" description:"PEM file of the server's certificate. Empty: plain HTTP."`
+	Key         string `long:"tls-key" env:"ACACIAGLADE_TLS_KEY" description:"PEM file of the certificate's key."`
+}
+
+// Common is the settings that both programs have.
+type Common struct {
+	Name          string        `long:"name" env:"ACACIAGLADE_NAME" description:"Name of this host, as in the host list. Required."`
+	FailureDomain string        `long:"failure-domain" env:"ACACIAGLADE_FAILURE_DOMAIN" description:"Failure domain of this host. Required."`
+	Listen        string        `long:"listen" env:"ACACIAGLADE_LISTEN" default:"127.0.0.1:8080" description:"Address to listen on."`
+	PeerToken     string        `long:"peer-token" env:"ACACIAGLADE_PEER_TOKEN" description:"Shared secret of calls between the system's own processes, at least 16 characters. Required."`
+	ObjectAPI     string        `long:"object-api" env:"ACACIAGLADE_OBJECT_API" description:"Base URL of the platform's object API. Required."`
+	ObjectTimeout time.Duration `long:"object-timeout" env:"ACACIAGLADE_OBJECT_TIMEOUT" default:"2s" description:"Longest wait for one answer of the object API."`
+	StopTimeout   time.Duration `long:"stop-timeout" env:"ACACIAGLADE_STOP_TIMEOUT" default:"60s" description:"Longest wait for running requests at a planned stop."`
+	ClockError    time.Duration `long:"clock-error" env:"ACACIAGLADE_CLOCK_ERROR" default:"500ms" description:"Largest difference between the clocks of two hosts."`
+	Logs          Logs          `group:"Logs"`
+	TLS           TLS           `group:"TLS"`
+}
+
+// Entry is the settings of an entry.
+type Entry struct {
+	Common
+	HostList        string        `long:"host-list" env:"ACACIAGLADE_HOST_LIST" description:"Base URL of the platform's host list. Required."`
+	OperatorToken   string        `long:"operator-token" env:"ACACIAGLADE_OPERATOR_TOKEN" description:"Bearer token of the operators, at least 16 characters. Required."`
+	HostsInterval   time.Duration `long:"hosts-interval" env:"ACACIAGLADE_HOSTS_INTERVAL" default:"2s" description:"Time between two reads of the host list."`
+	ReportInterval  time.Duration `long:"report-interval" env:"ACACIAGLADE_REPORT_INTERVAL" default:"250ms" description:"Time between two reports of an agent."`
+	MaxReportAge    time.Duration `long:"max-report-age" env:"ACACIAGLADE_MAX_REPORT_AGE" default:"2s" description:"Age beyond which a report is not used to choose an upstream."`
+	MaxBodyBytes    int64         `long:"max-body-bytes" env:"ACACIAGLADE_MAX_BODY_BYTES" default:"1048576" description:"Largest body of a request, in bytes."`
+	DefaultDeadline time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
+	MaxDeadline     time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
+	MaxWaiting      int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
+	CeilingBurst    time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
+	Silence         time.Duration `long:"silence" env:"ACACIAGLADE_SILENCE" default:"2s" description:"Time after which a silent answer stream is given up and resumed on a new connection."`
+	AskTimeout      time.Duration `long:"ask-timeout" env:"ACACIAGLADE_ASK_TIMEOUT" default:"1s" description:"Longest wait when an agent is asked for the state of a request."`
+	RetryRatio      float64       `long:"retry-ratio" env:"ACACIAGLADE_RETRY_RATIO" default:"0.1" description:"Retries that each request earns."`
+	RetryBurst      float64       `long:"retry-burst" env:"ACACIAGLADE_RETRY_BURST" default:"10" description:"Most retries that can be saved up."`
+	AvoidAfter      time.Duration `long:"avoid-after-failure" env:"ACACIAGLADE_AVOID_AFTER_FAILURE" default:"250ms" description:"Time for which an upstream is passed over after a failed attempt."`
+}
+
+// Agent is the settings of an agent.
+type Agent struct {
+	Common
+	Service        string        `long:"service" env:"ACACIAGLADE_SERVICE" description:"Service that the upstream serves. Required."`
+	Model          bool          `long:"model" env:"ACACIAGLADE_MODEL" description:"The upstream is a model engine."`
+	UpstreamURL    string        `long:"upstream" env:"ACACIAGLADE_UPSTREAM" description:"Base URL of the upstream. Required."`
+	Heartbeat      time.Duration `long:"heartbeat" env:"ACACIAGLADE_HEARTBEAT" default:"500ms" description:"Time between heartbeats on an idle answer stream."`
+	Orphan         time.Duration `long:"orphan" env:"ACACIAGLADE_ORPHAN" default:"10s" description:"Time after which an answer that nobody reads is cancelled or forgotten."`
+	SampleInterval time.Duration `long:"sample-interval" env:"ACACIAGLADE_SAMPLE_INTERVAL" default:"200ms" description:"Time between two samples of the upstream's load."`
+	MinRoom        int           `long:"min-room" env:"ACACIAGLADE_MIN_ROOM" default:"1" description:"Requests that a cold upstream may run at once."`
+	MaxRoom        int           `long:"max-room" env:"ACACIAGLADE_MAX_ROOM" default:"16" description:"Requests that a warm upstream may run at once."`
+	HealthyStep    time.Duration `long:"healthy-step" env:"ACACIAGLADE_HEALTHY_STEP" default:"27ms" description:"Longest step time of a healthy upstream."`
+	GrowEvery      time.Duration `long:"grow-every" env:"ACACIAGLADE_GROW_EVERY" default:"200ms" description:"Shortest time between two increases of the room."`
+}
+
+// Fault is one bad setting.
+type Fault struct {
+	// Flag is the flag's long name.
+	Flag string
+	// Remedy says what the flag may hold.
+	Remedy string
+}
+
+// Faults is all bad settings. It is an error whose message names the remedies.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (fs Faults) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = fmt.Sprintf("--%s: %s", f.Flag, f.Remedy)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// minSecretLength is the shortest secret that is accepted, in characters.
+const minSecretLength = 16
+
+// Accepted values of the log settings.
+var (
+	logFormats = []string{"text", "json"}
+	logLevels  = []string{"debug", "info", "warning", "error"}
+)
+
+// checker collects faults.
+type checker struct {
+	faults Faults
+}
+
+func (c *checker) require(ok bool, flag, remedy string) {
+	if !ok {
+		c.faults = append(c.faults, Fault{Flag: flag, Remedy: remedy})
+	}
+}
+
+func (c *checker) url(value, flag string) {
+	u, err := url.Parse(value)
+	c.require(err == nil && u.Host != "" && (u.Scheme == "http" || u.Scheme == "https"), flag, "give a URL such as http://127.0.0.1:8001")
+}
+
+func (c *checker) positive(d time.Duration, flag string) {
+	c.require(d > 0, flag, "give a time above 0, such as 2s")
+}
+
+func (c *checker) common(s *Common) {
+	c.require(s.Name != "", "name", "give the host's name")
+	c.require(s.FailureDomain != "", "failure-domain", "give the host's failure domain")
+	c.require(len(s.PeerToken) >= minSecretLength, "peer-token", "give a secret of at least 16 characters")
+	c.url(s.ObjectAPI, "object-api")
+	c.positive(s.ObjectTimeout, "object-timeout")
+	c.require(slices.Contains(logFormats, s.Logs.Format), "log-format", "give one of: "+strings.Join(logFormats, " "))
+	c.require(slices.Contains(logLevels, s.Logs.Level), "log-level", "give one of: "+strings.Join(logLevels, " "))
+	c.positive(s.StopTimeout, "stop-timeout")
+	c.require(s.ClockError >= 0, "clock-error", "give a time of at least 0")
+	c.require((s.TLS.Certificate == "") == (s.TLS.Key == ""), "tls-key", "give both --tls-certificate and --tls-key, or neither")
+}
+
+// Check returns all bad settings of an entry, or nil.
+func (s *Entry) Check() error {
+	c := &checker{}
+	c.common(&s.Common)
+	c.url(s.HostList, "host-list")
+	c.require(len(s.OperatorToken) >= minSecretLength, "operator-token", "give a secret of at least 16 characters")
+	c.positive(s.HostsInterval, "hosts-interval")
+	c.positive(s.ReportInterval, "report-interval")
+	c.require(s.MaxReportAge > s.ReportInterval, "max-report-age", "give a time above --report-interval")
+	c.require(s.MaxBodyBytes > 0, "max-body-bytes", "give a number above 0")
+	c.positive(s.DefaultDeadline, "default-deadline")
+	c.require(s.MaxDeadline >= s.DefaultDeadline, "max-deadline", "give at least --default-deadline")
+	c.require(s.MaxWaiting > 0, "max-waiting", "give a number above 0")
+	c.positive(s.CeilingBurst, "ceiling-burst")
+	c.positive(s.Silence, "silence")
+	c.positive(s.AskTimeout, "ask-timeout")
+	c.require(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry-ratio", "give a number from 0 to 1")
+	c.require(s.RetryBurst >= 1, "retry-burst", "give a number of at least 1")
+	c.require(s.AvoidAfter >= 0, "avoid-after-failure", "give a time of at least 0")
+	return c.err()
+}
+
+// Check returns all bad settings of an agent, or nil.
+func (s *Agent) Check() error {
+	c := &checker{}
+	c.common(&s.Common)
+	c.require(s.Service != "", "service", "give the service's name")
+	c.url(s.UpstreamURL, "upstream")
+	c.positive(s.Heartbeat, "heartbeat")
+	c.positive(s.Orphan, "orphan")
+	c.positive(s.SampleInterval, "sample-interval")
+	c.require(s.MinRoom >= 1, "min-room", "give a number of at least 1")
+	c.require(s.MaxRoom >= s.MinRoom, "max-room", "give at least --min-room")
+	c.positive(s.HealthyStep, "healthy-step")
+	c.positive(s.GrowEvery, "grow-every")
+	return c.err()
+}
+
+func (c *checker) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return c.faults
+}
--- /dev/null
+++ b/pkg/table/csv.go
@@ -0,0 +1,77 @@
+package table
+
+import (
+	"encoding/csv"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// csvHeader is the columns of the organisations as CSV.
+var csvHeader = []string{"name", "token_hash", "weight", "ceiling", "priority"}
+
+// WriteCSV writes organisations as CSV with a header.
+func WriteCSV(w io.Writer, organisations []Organisation) error {
+	cw := csv.NewWriter(w)
+	if err := cw.Write(csvHeader); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, o := range organisations {
+		row := []string{o.Name, o.TokenHash, strconv.Itoa(o.Weight), strconv.Itoa(o.Ceiling), strconv.FormatBool(o.Priority)}
+		if err := cw.Write(row); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	cw.Flush()
+	return errors.WithStack(cw.Error())
+}
+
+// ReadCSV reads organisations from CSV with a header. It returns every cell
+// that can't be read; Check finds the others.
+func ReadCSV(r io.Reader) ([]Organisation, Faults) {
+	cr := csv.NewReader(r)
+	header, err := cr.Read()
+	if err != nil || !slices.Equal(header, csvHeader) {
+		return nil, Faults{{Sheet: "organisations", Row: 0, Column: "header", Value: strings.Join(header, ","), Remedy: "begin with the line " + strings.Join(csvHeader, ",")}}
+	}
+	var organisations []Organisation
+	var faults Faults
+	for row := 1; ; row++ {
+		cells, err := cr.Read()
+		if errors.Is(err, io.EOF) {
+			return organisations, faults
+		}
+		if err != nil {
+			faults = append(faults, Fault{Sheet: "organisations", Row: row, Column: "row", Value: strings.Join(cells, ","), Remedy: "give one value for each of the " + strconv.Itoa(len(csvHeader)) + " columns"})
+			if !errors.Is(err, csv.ErrFieldCount) {
+				return organisations, faults
+			}
+			continue
+		}
+		o, rowFaults := readRow(cells, row)
+		organisations = append(organisations, o)
+		faults = append(faults, rowFaults...)
+	}
+}
+
+func readRow(cells []string, row int) (Organisation, Faults) {
+	var faults Faults
+	fault := func(column int, remedy string) {
+		faults = append(faults, Fault{Sheet: "organisations", Row: row, Column: csvHeader[column], Value: cells[column], Remedy: remedy})
+	}
+	o := Organisation{Name: cells[0], TokenHash: cells[1]}
+	var err error
+	if o.Weight, err = strconv.Atoi(cells[2]); err != nil {
+		fault(2, "give a whole number")
+	}
+	if o.Ceiling, err = strconv.Atoi(cells[3]); err != nil {
+		fault(3, "give a whole number")
+	}
+	if o.Priority, err = strconv.ParseBool(cells[4]); err != nil {
+		fault(4, "give true or false")
+	}
+	return o, faults
+}
