Add golden sessions and stop retries of rejected requests

Cause: the first golden session of a caller's visit showed that a reused idempotency key with another body was answered "withdrawn": the agent's refusal was retried at the same agent, which remembered the request.

Ruled out: a fault of the claim itself; its verdict was right in the log.

Change: refusals that every agent would repeat are marked permanent and end the request.

--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -18,6 +18,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acaciaglade/acaciaglade/lab/link"
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
 	"github.com/acaciaglade/acaciaglade/pkg/operator"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
@@ -37,6 +38,9 @@
 	Orders         int
 	// HostListLag is the lag of the host list.
 	HostListLag time.Duration
+	// Links puts a link between each entry and everything it calls, and between
+	// each agent and the object API, so that each can be cut alone.
+	Links bool
 	// Table is the first table. Its version is set by the deployment.
 	Table table.Table
 	// EngineArgs, AgentArgs and EntryArgs are added to the commands.
@@ -80,7 +84,6 @@
 type Deployment struct {
 	Shape     Shape
 	Objects   *Process
-	HostList  *Process
 	Entries   []*Process
 	Agents    []*Process
 	Upstreams []*Process
@@ -89,6 +92,8 @@
 	logs      string
 	processes []*Process
 	list      []hosts.Host
+	hostLists []*hostList
+	links     map[route]*link.Link
 }
 
 // Build compiles the programs into a folder.
@@ -109,7 +114,7 @@
 // Start starts a deployment from the programs in bin, with logs in a folder,
 // and waits until every entry is ready and every agent reports.
 func Start(ctx context.Context, bin, logs string, shape Shape) (*Deployment, error) {
-	d := &Deployment{Shape: shape, bin: bin, logs: logs}
+	d := &Deployment{Shape: shape, bin: bin, logs: logs, links: make(map[route]*link.Link)}
 	if err := d.start(ctx); err != nil {
 		d.Stop()
 		return nil, err
@@ -122,9 +127,6 @@
 	if d.Objects, err = d.Run("objects", "", "lab", "objects"); err != nil {
 		return err
 	}
-	if d.HostList, err = d.Run("hosts", "", "lab", "hosts", "--lag", d.Shape.HostListLag.String()); err != nil {
-		return err
-	}
 	for i := range d.Shape.Models {
 		if err := d.addUpstream(i, ModelService, true); err != nil {
 			return err
@@ -162,7 +164,11 @@
 		return err
 	}
 	d.Upstreams = append(d.Upstreams, upstream)
-	agentArgs := append(d.common(name, d.domain(i)), "--service", service, "--upstream", upstream.URL())
+	common, err := d.common(name, d.domain(i))
+	if err != nil {
+		return err
+	}
+	agentArgs := append(common, "--service", service, "--upstream", upstream.URL())
 	if model {
 		agentArgs = append(agentArgs, "--model")
 	}
@@ -177,8 +183,16 @@
 
 func (d *Deployment) addEntry(i int) error {
 	name := fmt.Sprintf("entry-%d", i)
-	args := append([]string{"serve"}, d.common(name, d.domain(i))...)
-	args = append(args, "--host-list", d.HostList.URL(), "--operator-token", OperatorToken)
+	common, err := d.common(name, d.domain(i))
+	if err != nil {
+		return err
+	}
+	hostList, err := d.hostListFor(name)
+	if err != nil {
+		return err
+	}
+	args := append([]string{"serve"}, common...)
+	args = append(args, "--host-list", hostList.URL(), "--operator-token", OperatorToken)
 	entry, err := d.Run(name, d.domain(i), "acaciaglade", append(args, d.Shape.EntryArgs...)...)
 	if err != nil {
 		return err
@@ -188,8 +202,9 @@
 	return nil
 }
 
-func (d *Deployment) common(name, domain string) []string {
-	return []string{"--name", name, "--failure-domain", domain, "--peer-token", PeerToken, "--object-api", d.Objects.URL()}
+func (d *Deployment) common(name, domain string) ([]string, error) {
+	objects, err := d.routeURL(name, "objects", d.Objects.Address)
+	return []string{"--name", name, "--failure-domain", domain, "--peer-token", PeerToken, "--object-api", objects}, err
 }
 
 // Run starts one program with a free address of its own.
@@ -231,17 +246,20 @@
 	return l.Addr().String(), nil
 }
 
-// setHosts tells the host list where everything is, and writes the first table.
+// setHosts tells the host lists where everything is, and writes the first
+// table.
 func (d *Deployment) setHosts(ctx context.Context) error {
-	if err := poll(ctx, func() error { return Put(ctx, d.HostList.URL()+"/lab/hosts", d.list) }); err != nil {
+	if err := d.PublishHosts(ctx); err != nil {
 		return err
 	}
 	if err := poll(ctx, func() error { return get(ctx, d.Entries[0].URL()+"/healthz") }); err != nil {
 		return err
 	}
 	first := d.Shape.Table
-	_, err := d.Operator(0).PutTable(ctx, &first)
-	return err
+	return poll(ctx, func() error {
+		_, err := d.Operator(0).PutTable(ctx, &first)
+		return err
+	})
 }
 
 // Operator returns a client of an entry's operators' API.
@@ -283,6 +301,9 @@
 		_ = d.processes[i].Signal(syscall.SIGCONT)
 		_ = d.processes[i].Signal(syscall.SIGTERM)
 	}
+	for _, l := range d.links {
+		l.Close()
+	}
 	for _, p := range d.processes {
 		if p.Wait(ctx) != nil {
 			_ = p.Signal(syscall.SIGKILL)
--- /dev/null
+++ b/lab/session/session.go
@@ -0,0 +1,106 @@
+// Package session records what a caller or an operator sees in a whole visit to
+// real processes, in a form that is the same in every run, for comparison with a
+// golden file.
+package session
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Recorder is the record of one session.
+type Recorder struct {
+	out bytes.Buffer
+}
+
+// Note adds a line that says what happens next.
+func (r *Recorder) Note(format string, args ...any) {
+	fmt.Fprintf(&r.out, "# "+format+"\n", args...)
+}
+
+// Line adds a line of the record.
+func (r *Recorder) Line(format string, args ...any) {
+	fmt.Fprintf(&r.out, format+"\n", args...)
+}
+
+// Bytes returns the record, with what differs between runs replaced.
+func (r *Recorder) Bytes() []byte { return Normalise(r.out.Bytes()) }
+
+// Call is one HTTP call of a session.
+type Call struct {
+	Method string
+	URL    string
+	Token  string
+	// Header is pairs of names and values.
+	Header []string
+	Body   string
+}
+
+// Do makes a call and records it with its answer. It returns the answer's body.
+func (r *Recorder) Do(ctx context.Context, c Call) (status int, body []byte, err error) {
+	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, strings.NewReader(c.Body))
+	if err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	for i := 0; i+1 < len(c.Header); i += 2 {
+		req.Header.Set(c.Header[i], c.Header[i+1])
+	}
+	r.Line("> %s %s %s", c.Method, req.URL.RequestURI(), strings.Join(c.Header, " "))
+	if c.Body != "" {
+		r.Line("> %s", c.Body)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.Line("< no answer")
+		return 0, nil, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	r.Line("< %d %s", resp.StatusCode, resp.Header.Get("Content-Type"))
+	if retry := resp.Header.Get("Retry-After"); retry != "" {
+		r.Line("< Retry-After: %s", retry)
+	}
+	r.Line("%s", pretty(body))
+	if err != nil {
+		r.Line("< the answer broke off")
+	}
+	return resp.StatusCode, body, errors.WithStack(err)
+}
+
+// pretty indents JSON and leaves the rest alone.
+func pretty(body []byte) string {
+	var out bytes.Buffer
+	if json.Indent(&out, body, "", "  ") == nil {
+		return strings.TrimSpace(out.String())
+	}
+	return strings.TrimSpace(string(body))
+}
+
+// replacements is what differs between runs and what stands for it.
+var replacements = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "<id>"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<address>"},
+	{regexp.MustCompile(`"report_age_millis": \d+`), `"report_age_millis": <age>`},
+}
+
+// Normalise replaces what differs between runs.
+func Normalise(b []byte) []byte {
+	for _, r := range replacements {
+		b = r.pattern.ReplaceAll(b, []byte(r.with))
+	}
+	return b
+}
--- a/pkg/agent/execute.go
+++ b/pkg/agent/execute.go
@@ -63,7 +63,7 @@
 		r.data(verdict.Answer.Body)
 		r.complete()
 	case notRun && verdict.Refusal.Ran == problem.RanNo:
-		r.refuse(api.OutcomeNotRun, verdict.Refusal.Reason, verdict.Refusal.Detail)
+		r.reject(verdict.Refusal.Reason, verdict.Refusal.Detail)
 	default:
 		r.refuse(api.OutcomeUnknown, verdict.Refusal.Reason, verdict.Refusal.Detail)
 	}
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -53,6 +53,11 @@
 	r.end(api.Frame{Outcome: outcome, Refusal: &api.Refusal{Reason: string(reason), Detail: detail}})
 }
 
+// reject ends the answer with a refusal that every other agent would repeat.
+func (r *run) reject(reason problem.Reason, detail string) {
+	r.end(api.Frame{Outcome: api.OutcomeNotRun, Refusal: &api.Refusal{Reason: string(reason), Detail: detail, Permanent: true}})
+}
+
 func (r *run) end(f api.Frame) {
 	f.Kind = api.FrameFinal
 	r.mu.Lock()
--- a/pkg/api/attempt.go
+++ b/pkg/api/attempt.go
@@ -95,6 +95,8 @@
 	Reason           string `json:"reason"`
 	Detail           string `json:"detail,omitempty"`
 	RetryAfterMillis int64  `json:"retry_after_millis,omitempty"`
+	// Permanent is true when no other upstream would answer otherwise.
+	Permanent bool `json:"permanent,omitempty"`
 }
 
 // WithdrawRequest asks an agent for the state of a request. When the request
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -59,6 +59,9 @@
 		j.fleet.Report(*f.Report)
 	}
 	j.refusal = f.Refusal
+	if f.Outcome == api.OutcomeNotRun && f.Refusal != nil && f.Refusal.Permanent {
+		return retry.Rejected
+	}
 	return outcomeEvent(f.Outcome)
 }
 
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -18,6 +18,9 @@
 const (
 	// NotRun means that the attempt did not run and never will.
 	NotRun EventKind = iota
+	// Rejected means that the attempt did not run and that no other upstream
+	// would run it.
+	Rejected
 	// Silent means that the stream broke or went silent.
 	Silent
 	// Running means that the agent says, when asked, that the attempt runs or
@@ -72,6 +75,8 @@
 	switch event {
 	case Complete:
 		return Done
+	case Rejected:
+		return r.refusal()
 	case Silent:
 		return r.silent(now)
 	case Running:
