Add the experiment tool and the experiment domain-leaves

Cause: what a failure domain's leaving costs callers could not be measured. The load is now open-loop by schedule (seeded Poisson arrivals), with deadlines, four kinds of work, and a resend through another entry when the connection to an entry breaks. Ruled out: a ticker as the source of arrivals, since it drops ticks when the sender is behind, which slows the arrivals with the answers.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/acaciaglade/acaciaglade/lab/demo"
 	"github.com/acaciaglade/acaciaglade/lab/engine"
+	"github.com/acaciaglade/acaciaglade/lab/experiment"
 	"github.com/acaciaglade/acaciaglade/lab/hostlist"
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
@@ -88,6 +89,7 @@
 		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
+		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
 			panic(err)
--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -60,6 +60,8 @@
 	Name    string
 	Address string
 	Domain  string
+	program string
+	args    []string
 	cmd     *exec.Cmd
 	done    chan struct{}
 }
@@ -227,7 +229,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p := &Process{Name: name, Address: address, Domain: domain, cmd: cmd, done: make(chan struct{})}
+	p := &Process{Name: name, Address: address, Domain: domain, program: program, args: args, cmd: cmd, done: make(chan struct{})}
 	go func() {
 		_ = cmd.Wait()
 		log.Close()
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -3,23 +3,12 @@
 package load
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
-	"slices"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
-
-	"github.com/acaciaglade/acaciaglade/pkg/problem"
 )
 
 // Kind is the kind of work that is sent.
@@ -29,6 +18,10 @@
 const (
 	// Chat is a streamed chat completion.
 	Chat Kind = "chat"
+	// Draft is a chat completion whose answer comes in one piece.
+	Draft Kind = "draft"
+	// Status is an idempotent call of a plain service.
+	Status Kind = "status"
 	// Confirm is a call that is not idempotent.
 	Confirm Kind = "confirm"
 )
@@ -45,51 +38,24 @@
 	Tokens  int
 	Model   string
 	Service string
-}
-
-// Refusals counts the refusals of one reason.
-type Refusals struct {
-	Reason problem.Reason `json:"reason"`
-	Ran    problem.Ran    `json:"ran"`
-	Count  int            `json:"count"`
-}
-
-// Result is what became of one organisation's traffic.
-type Result struct {
-	Organisation string     `json:"organisation"`
-	Kind         Kind       `json:"kind"`
-	Sent         int        `json:"sent"`
-	Complete     int        `json:"complete"`
-	Tokens       int        `json:"tokens"`
-	Refusals     []Refusals `json:"refusals"`
-	// Broken counts answers that ended without being whole and without a reason.
-	Broken int `json:"broken"`
-	// FirstToken and Whole are the latencies in microseconds.
-	FirstToken *hdrhistogram.Histogram `json:"-"`
-	Whole      *hdrhistogram.Histogram `json:"-"`
-}
-
-// RefusedText lists the refusals in words.
-func (r *Result) RefusedText() string {
-	var parts []string
-	for _, f := range r.Refusals {
-		parts = append(parts, fmt.Sprintf("%d %s (ran: %s)", f.Count, f.Reason, f.Ran))
-	}
-	if r.Broken > 0 {
-		parts = append(parts, fmt.Sprintf("%d broken", r.Broken))
-	}
-	return strings.Join(parts, ", ")
+	// Deadline is the time limit of a request; 0 sends none. A complete answer
+	// that takes longer is late.
+	Deadline time.Duration
+	// FirstToken is the time beyond which the first token of a streamed answer
+	// is late; 0 sets no limit.
+	FirstToken time.Duration
+	// Resend makes a request whose connection to its entry breaks go once more
+	// through another entry, as a caller's client does.
+	Resend bool
+	// Poisson draws the gaps between arrivals from an exponential distribution,
+	// seeded by Seed. Otherwise arrivals are evenly spaced.
+	Poisson bool
+	Seed    uint64
 }
 
 // maxLatency is the largest latency that is recorded, in microseconds.
 const maxLatency = int64(10 * time.Minute / time.Microsecond)
 
-// client is shared, so that connections are reused.
-var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
-
-// answerTimeout bounds the wait for an answer once no more is sent.
-const answerTimeout = 30 * time.Second
-
 // Run sends traffic until ctx ends, waits for the answers and returns what
 // became of them.
 func Run(ctx context.Context, cfg Config) Result {
@@ -99,22 +65,38 @@
 		FirstToken:   hdrhistogram.New(1, maxLatency, 3),
 		Whole:        hdrhistogram.New(1, maxLatency, 3),
 	}}
-	interval := time.Duration(float64(time.Second) / cfg.PerSecond)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	arrivals := arrivals{cfg: &cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 0)), due: time.Now()}
 	for i := 0; ; i++ {
+		timer := time.NewTimer(time.Until(arrivals.next()))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			s.group.Wait()
 			return s.result
-		case <-ticker.C:
-			entry := cfg.Entries[i%len(cfg.Entries)]
+		case <-timer.C:
 			s.result.Sent++
-			s.group.Go(func() { s.one(entry) })
+			s.group.Go(func() { s.one(i) })
 		}
 	}
 }
 
+// arrivals draws the times at which requests are due. They don't depend on the
+// answers.
+type arrivals struct {
+	cfg  *Config
+	rand *rand.Rand
+	due  time.Time
+}
+
+func (a *arrivals) next() time.Time {
+	gap := 1.0
+	if a.cfg.Poisson {
+		gap = a.rand.ExpFloat64()
+	}
+	a.due = a.due.Add(time.Duration(gap * float64(time.Second) / a.cfg.PerSecond))
+	return a.due
+}
+
 type sender struct {
 	cfg    Config
 	group  sync.WaitGroup
@@ -122,102 +104,35 @@
 	result Result
 }
 
-// answer is what one request got.
-type answer struct {
-	tokens  int
-	first   time.Duration
-	refusal *problem.Problem
-}
+// answerTimeout bounds the wait for an answer.
+const answerTimeout = 30 * time.Second
 
-func (s *sender) one(entry string) {
+// one sends one request and records what became of it.
+func (s *sender) one(i int) {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	begin := time.Now()
-	a, err := s.send(ctx, entry)
-	took := time.Since(begin)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case err != nil:
-		s.result.Broken++
-	case a.refusal != nil:
-		s.refused(a.refusal)
-	default:
-		s.result.Complete++
-		s.result.Tokens += a.tokens
-		_ = s.result.Whole.RecordValue(took.Microseconds())
-		if a.first > 0 {
-			_ = s.result.FirstToken.RecordValue(a.first.Microseconds())
-		}
+	key := newKey()
+	a, err := s.send(ctx, s.entry(i), key, begin)
+	resent := false
+	for n := 1; err != nil && s.mayResend(err, resent) && n < len(s.cfg.Entries); n++ {
+		resent = resent || !notConnected(err)
+		a, err = s.send(ctx, s.entry(i+n), key, begin)
 	}
-}
-
-func (s *sender) refused(p *problem.Problem) {
-	i := slices.IndexFunc(s.result.Refusals, func(r Refusals) bool { return r.Reason == p.Reason && r.Ran == p.Ran })
-	if i < 0 {
-		s.result.Refusals = append(s.result.Refusals, Refusals{Reason: p.Reason, Ran: p.Ran, Count: 1})
-		return
+	sample := s.cfg.sample(a, err)
+	sample.At, sample.Took, sample.Resent = begin, time.Since(begin), resent
+	if sample.Outcome == Complete && s.cfg.Deadline > 0 && sample.Took > s.cfg.Deadline {
+		sample.Outcome = Late
 	}
-	s.result.Refusals[i].Count++
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.add(sample, a.tokens)
 }
 
-func (s *sender) send(ctx context.Context, entry string) (answer, error) {
-	target, body := entry+"/v1/chat/completions", fmt.Sprintf(
-		`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"one two three"}]}`, s.cfg.Model, s.cfg.Tokens)
-	if s.cfg.Kind == Confirm {
-		target, body = entry+"/services/"+s.cfg.Service+"/orders/confirm", `{"item":"cufflinks"}`
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
-	if err != nil {
-		return answer{}, errors.WithStack(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+s.cfg.Token)
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Idempotency-Key", uuid.NewString())
-	begin := time.Now()
-	resp, err := client.Do(req)
-	if err != nil {
-		return answer{}, errors.WithStack(err)
-	}
-	defer resp.Body.Close()
-	if resp.Header.Get("Content-Type") == problem.ContentType {
-		var p problem.Problem
-		return answer{refusal: &p}, errors.WithStack(json.NewDecoder(resp.Body).Decode(&p))
-	}
-	if s.cfg.Kind == Confirm {
-		_, err := io.Copy(io.Discard, resp.Body)
-		return answer{}, errors.WithStack(err)
-	}
-	return readEvents(resp.Body, begin, s.cfg.Tokens)
-}
+func (s *sender) entry(i int) string { return s.cfg.Entries[i%len(s.cfg.Entries)] }
 
-// readEvents reads a streamed answer and checks that it is whole.
-func readEvents(body io.Reader, begin time.Time, want int) (answer, error) {
-	var a answer
-	failed := false
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		line := lines.Bytes()
-		if bytes.Equal(line, []byte("event: error")) {
-			failed = true
-		}
-		data, ok := bytes.CutPrefix(line, []byte("data: "))
-		switch {
-		case !ok:
-		case failed:
-			a.refusal = &problem.Problem{}
-			return a, errors.WithStack(json.Unmarshal(data, a.refusal))
-		case string(data) == "[DONE]":
-			if a.tokens != want {
-				return a, errors.Errorf("%d tokens came in place of %d", a.tokens, want)
-			}
-			return a, nil
-		default:
-			if a.tokens == 0 {
-				a.first = time.Since(begin)
-			}
-			a.tokens++
-		}
-	}
-	return a, errors.New("the stream ended early")
+// mayResend reports whether a request goes through another entry. One that
+// reached no entry always does, as through a balancer.
+func (s *sender) mayResend(err error, resent bool) bool {
+	return s.cfg.Resend && (notConnected(err) || !resent)
 }
