Authenticate before the service is resolved

Ruled out: a second check of the token in the handlers, which would stand twice.

Change: a route filter after authenticate resolves the service; the handlers only build the request. The reply to a chat is chosen once the body is read.

--- /dev/null
+++ b/pkg/entry/chat_reply.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"github.com/labstack/echo/v4"
+
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+)
+
+// chatReply writes a model's answer streamed or whole, as the request asked.
+// What it asked is known once the request has passed the route filter.
+type chatReply struct {
+	c       echo.Context
+	request *pipe.Request
+	inner   committer
+}
+
+// Head implements pipe.Reply.
+func (w *chatReply) Head(status int, contentType string) error {
+	if w.inner == nil {
+		w.inner = w.choose()
+	}
+	return w.inner.Head(status, contentType)
+}
+
+func (w *chatReply) choose() committer {
+	if w.request.Streamed {
+		return newEventReply(w.c)
+	}
+	return newWholeReply(w.c)
+}
+
+// Data implements pipe.Reply.
+func (w *chatReply) Data(part []byte) error { return w.inner.Data(part) }
+
+// End implements pipe.Reply.
+func (w *chatReply) End() error { return w.inner.End() }
+
+// Refuse implements committer.
+func (w *chatReply) Refuse(p *problem.Problem) error {
+	if w.inner == nil {
+		return refuse(w.c, p)
+	}
+	return w.inner.Refuse(p)
+}
+
+var _ committer = (*chatReply)(nil)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -6,9 +6,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +17,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/authenticate"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/route"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/operator"
@@ -89,6 +88,7 @@
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
 	e.chain = ceiling.New(e.chain, cfg.Ceiling)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
+	e.chain = route.New(e.chain)
 	e.chain = authenticate.New(e.chain)
 	store.Subscribe(f.SetIndex)
 	return e
@@ -104,8 +104,8 @@
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
 	s.GET(peer.PathTable, e.peerTable, peer.RequireToken(e.cfg.PeerToken))
 	e.api.Register(s)
-	s.POST("/v1/chat/completions", e.chat)
-	s.Any("/services/:service/*", e.plain)
+	s.POST(route.PathChat, e.chat)
+	s.Any(route.PrefixServices+"*", e.plain)
 }
 
 func (e *Entry) ready(c echo.Context) error {
@@ -128,7 +128,10 @@
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
 	r.Reply = reply
-	err := e.chain.Serve(c.Request().Context(), r)
+	err := e.receive(c, r)
+	if err == nil {
+		err = e.chain.Serve(c.Request().Context(), r)
+	}
 	organisation := ""
 	if r.Organisation != nil {
 		organisation = r.Organisation.Name
@@ -152,37 +155,6 @@
 	return problem.New(problem.ReasonInternal, err.Error())
 }
 
-// newRequest reads what all requests have in common.
-func (e *Entry) newRequest(c echo.Context) (*pipe.Request, *problem.Problem) {
-	if e.stopping.Load() {
-		return nil, problem.New(problem.ReasonStopping, "")
-	}
-	ix := e.store.Index()
-	if ix == nil {
-		return nil, problem.New(problem.ReasonNotReady, "")
-	}
-	h := c.Request().Header
-	timeout, refusal := parseTimeout(h.Get(HeaderDeadline))
-	if refusal != nil {
-		return nil, refusal
-	}
-	body, refusal := readBody(c, e.cfg.MaxBodyBytes)
-	if refusal != nil {
-		return nil, refusal
-	}
-	return &pipe.Request{
-		ID:             uuid.NewString(),
-		Token:          pipe.BearerToken(h),
-		Index:          ix,
-		Method:         c.Request().Method,
-		ContentType:    h.Get(echo.HeaderContentType),
-		Body:           body,
-		IdempotencyKey: h.Get(HeaderIdempotencyKey),
-		Received:       time.Now(),
-		Timeout:        timeout,
-	}, nil
-}
-
 // Run follows the platform's store and the fleet until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	go e.store.Watch(ctx)
--- a/pkg/entry/reply.go
+++ b/pkg/entry/reply.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -34,7 +35,9 @@
 
 // refuse answers with a problem document before anything was written.
 func refuse(c echo.Context, p *problem.Problem) error {
-	setRetryAfter(c, p)
+	if p.RetryAfterSeconds > 0 {
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(p.RetryAfterSeconds))
+	}
 	return operator.WriteProblem(c, p)
 }
 
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -159,7 +159,7 @@
 		IdempotencyKey:    r.IdempotencyKey,
 		DeadlineUnixMilli: r.Deadline.UnixMilli(),
 		Method:            r.Method,
-		Path:              r.Path,
+		Path:              upstreamPath(r),
 		ContentType:       r.ContentType,
 		Body:              r.Body,
 	})
@@ -170,6 +170,14 @@
 	return j.relay(body, timer)
 }
 
+// upstreamPath returns the path and query of the upstream's call.
+func upstreamPath(r *pipe.Request) string {
+	if r.Query == "" {
+		return r.Path
+	}
+	return r.Path + "?" + r.Query
+}
+
 // resume reads the answer on from where it stopped, on a new connection.
 func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/pkg/filter/route/route.go
@@ -0,0 +1,115 @@
+// Package route is the filter that finds the service of a request and brings
+// the request into the form that upstreams take.
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// PathChat is the path of chat completions, at entries and at engines.
+const PathChat = "/v1/chat/completions"
+
+// PrefixServices is the path below which plain services are called.
+const PrefixServices = "/services/"
+
+// Assumed costs.
+const (
+	// bytesPerToken is the size of a token of a prompt.
+	bytesPerToken = 4
+	// defaultMaxTokens is the length of an answer that names no limit.
+	defaultMaxTokens = 256
+	// plainCost is the cost of a plain call in tokens.
+	plainCost = 1
+)
+
+// errBody is what is wrong with a body that is not a chat completion.
+const errBody = "the body is not a JSON object of a chat completion"
+
+// New returns the filter.
+func New(next pipe.Handler) pipe.Handler {
+	return pipe.HandlerFunc(func(ctx context.Context, r *pipe.Request) error {
+		resolve := plain
+		if r.Path == PathChat {
+			resolve = chat
+		}
+		if refusal := resolve(r); refusal != nil {
+			return refusal
+		}
+		return next.Serve(ctx, r)
+	})
+}
+
+// chatBody is what is read of a chat completion.
+type chatBody struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// chat resolves a chat completion.
+func chat(r *pipe.Request) *problem.Problem {
+	var body chatBody
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return problem.New(problem.ReasonBadRequest, errBody)
+	}
+	r.Service = r.Index.Service(body.Model)
+	if r.Service == nil || r.Service.Kind != table.KindModel {
+		return problem.New(problem.ReasonNotFound, "unknown model "+strconv.Quote(body.Model))
+	}
+	if body.MaxTokens < 0 {
+		return problem.New(problem.ReasonBadRequest, "max_tokens is negative")
+	}
+	streamed, err := withStream(r.Body)
+	if err != nil {
+		return problem.New(problem.ReasonBadRequest, errBody)
+	}
+	r.Cost = chatCost(&body, len(r.Body))
+	r.Streamed = body.Stream
+	r.Body = streamed
+	r.Idempotent = true
+	return nil
+}
+
+func chatCost(body *chatBody, size int) float64 {
+	tokens := body.MaxTokens
+	if tokens == 0 {
+		tokens = defaultMaxTokens
+	}
+	return float64(size/bytesPerToken + tokens)
+}
+
+// withStream returns the body with streaming asked for, as the engine's answers
+// are always read as a stream.
+func withStream(body []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	raw, err := json.Marshal(fields)
+	return raw, errors.WithStack(err)
+}
+
+// plain resolves a call of a plain service: the first segment of the path names
+// the service, the rest is the path at the upstream.
+func plain(r *pipe.Request) *problem.Problem {
+	rest, ok := strings.CutPrefix(r.Path, PrefixServices)
+	name, path, _ := strings.Cut(rest, "/")
+	r.Service = r.Index.Service(name)
+	if !ok || r.Service == nil || r.Service.Kind != table.KindPlain {
+		return problem.New(problem.ReasonNotFound, "unknown service "+strconv.Quote(name))
+	}
+	r.Path = "/" + path
+	r.Idempotent = r.Service.Idempotent(r.Method, r.Path)
+	r.Cost = plainCost
+	return nil
+}
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -21,17 +21,22 @@
 	Index *table.Index
 	// Organisation is set by the authenticate filter.
 	Organisation *table.Organisation
-	// Service is the service that is called.
+	// Service is set by the route filter.
 	Service *table.Service
-	// Method, Path, ContentType and Body are those of the upstream's call.
+	// Method, Path, Query, ContentType and Body are those of the caller's call
+	// until the route filter makes them those of the upstream's.
 	Method      string
 	Path        string
+	Query       string
 	ContentType string
 	Body        []byte
 	// IdempotencyKey is the caller's key, empty when none was given.
 	IdempotencyKey string
 	// Idempotent is true when the work may be repeated.
 	Idempotent bool
+	// Streamed is true when a model's answer is to be written as it comes. It is
+	// set by the route filter.
+	Streamed bool
 	// Received is when the request arrived.
 	Received time.Time
 	// Timeout is the caller's time limit, 0 when none was given.
