Move the polling of agents into a file of its own

Two people change pkg/fleet at once: one its scheduling, one its membership. Both halves stood in one file, so every change would have met the other. Moved without an edit: reading the host list and polling agents for reports. A package of its own was ruled out for now, since both halves share one lock.

--- /dev/null
+++ b/pkg/fleet/poll.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+)
+
+// readHosts starts and stops the pollers of agents to match the host list.
+func (f *Fleet) readHosts(ctx context.Context) {
+	list, err := f.list.List(ctx)
+	if err != nil {
+		f.log.WithError(err).Warn("host list not read")
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := 0
+	current := make(map[string]bool, len(list))
+	for _, h := range list {
+		if h.Role == hosts.RoleEntry {
+			entries++
+			continue
+		}
+		current[h.Name] = true
+		f.addresses[h.Name] = h.Address
+		f.startPoller(ctx, h.Name)
+	}
+	f.entries = max(1, entries)
+	for name, stop := range f.pollers {
+		if !current[name] {
+			stop()
+			delete(f.pollers, name)
+		}
+	}
+}
+
+func (f *Fleet) startPoller(ctx context.Context, name string) {
+	if _, ok := f.pollers[name]; ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.pollers[name] = cancel
+	go f.poll(ctx, name)
+}
+
+// poll reads an agent's reports and brings it newer marks until ctx ends.
+func (f *Fleet) poll(ctx context.Context, name string) {
+	ticker := time.NewTicker(f.cfg.ReportInterval)
+	defer ticker.Stop()
+	var known uint64
+	for {
+		known = f.pollOnce(ctx, name, known)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// pollOnce returns the version of the marks that the agent has in force.
+func (f *Fleet) pollOnce(ctx context.Context, name string, known uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReportInterval)
+	defer cancel()
+	f.mu.Lock()
+	address, index := f.addresses[name], f.index
+	f.mu.Unlock()
+	req := &api.ReportRequest{}
+	if index != nil && index.Table().Version > known {
+		marks := index.Table().Marks()
+		req.Marks = &marks
+	}
+	report, err := f.agents.Report(ctx, address, req)
+	if err != nil {
+		f.log.WithError(err).WithField("upstream", name).Debug("no report")
+		return known
+	}
+	f.Report(report)
+	return report.MarksVersion
+}
