--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os/signal"
 	"syscall"
@@ -29,17 +30,34 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-// Run serves until ctx ends. It then calls drain, which may take up to the stop
-// timeout, and shuts the server down.
-func Run(ctx context.Context, s *settings.Common, handler http.Handler, drain func(context.Context) error) error {
-	srv := &http.Server{Addr: s.Listen, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+// readHeaderTimeout bounds the reading of a request's header.
+const readHeaderTimeout = 10 * time.Second
+
+// Drain makes a process take no new work and waits for the running work, until
+// the context ends.
+type Drain func(context.Context) error
+
+// Run listens on the configured address and serves until ctx ends. It then calls
+// drain and shuts the server down, which together may take up to the stop
+// timeout.
+func Run(ctx context.Context, s *settings.Common, handler http.Handler, drain Drain) error {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "can't listen on %s; choose another --listen", s.Listen)
+	}
+	return Serve(ctx, listener, s, handler, drain)
+}
+
+// Serve is Run on a listener.
+func Serve(ctx context.Context, listener net.Listener, s *settings.Common, handler http.Handler, drain Drain) error {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 1)
-	go func() { failed <- listen(srv, &s.TLS) }()
+	go func() { failed <- serve(srv, listener, &s.TLS) }()
 	log := logging.For("server")
-	log.WithField("address", s.Listen).Info("listening")
+	log.WithField("address", listener.Addr()).Info("listening")
 	select {
 	case err := <-failed:
-		return errors.Wrapf(err, "can't listen on %s; choose another --listen", s.Listen)
+		return errors.Wrap(err, "server failed; check --tls-certificate and --tls-key")
 	case <-ctx.Done():
 	}
 	log.Info("stopping; running requests go on")
@@ -51,12 +69,9 @@
 	return errors.Wrap(srv.Shutdown(stopCtx), "connections were still open at the stop timeout; raise --stop-timeout")
 }
 
-// readHeaderTimeout bounds the reading of a request's header.
-const readHeaderTimeout = 10 * time.Second
-
-func listen(srv *http.Server, t *settings.TLS) error {
+func serve(srv *http.Server, listener net.Listener, t *settings.TLS) error {
 	if t.Certificate != "" {
-		return srv.ListenAndServeTLS(t.Certificate, t.Key)
+		return srv.ServeTLS(listener, t.Certificate, t.Key)
 	}
-	return srv.ListenAndServe()
+	return srv.Serve(listener)
 }
