Pass over an upstream after a failed attempt until it reports again

Change: a failed attempt makes the candidate suspect; the next report clears that. The test fails without the change.

--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -104,6 +104,7 @@
 	c.Report = r
 	c.ReceivedAt = now
 	c.SinceReport = 0
+	c.Suspect = false
 	return svc.grants(s.policy, now)
 }
 
@@ -119,6 +120,7 @@
 	c.SinceReport = max(0, c.SinceReport-1)
 	if failed {
 		c.AvoidUntil = now.Add(s.cfg.AvoidAfterFailure)
+		c.Suspect = true
 	}
 	return svc.grants(s.policy, now)
 }
--- /dev/null
+++ b/pkg/scheduler/suspect_test.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
+)
+
+// An upstream whose attempt failed gets no more work before it has reported
+// again, however fresh its last report and however long ago the failure.
+func TestFailedUpstreamWaitsForReport(t *testing.T) {
+	const avoid = 100 * time.Millisecond
+	now := time.Unix(1000, 0)
+	s := New(Config{MaxWaiting: 8, AvoidAfterFailure: avoid},
+		&selection.TwoChoices{MaxAge: time.Minute, Rand: rand.New(rand.NewPCG(1, 0))})
+	report := api.Report{Upstream: "u", Service: "m", Incarnation: "i", Sequence: 1, Limit: 4, Ready: true}
+	s.Report(report, now)
+	request := func(id string) Request {
+		return Request{ID: id, Service: "m", Organisation: "o", Weight: 1, Cost: 1, Deadline: now.Add(time.Hour)}
+	}
+	if got := len(s.Arrive(request("a"), now)); got != 1 {
+		t.Fatalf("%d grants before the failure, want 1", got)
+	}
+	s.Ended("u", true, now)
+	now = now.Add(2 * avoid)
+	if got := len(s.Arrive(request("b"), now)); got != 0 {
+		t.Fatalf("%d grants after the failure, want 0", got)
+	}
+	report.Sequence++
+	if got := len(s.Report(report, now)); got != 1 {
+		t.Errorf("%d grants after the next report, want 1", got)
+	}
+}
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -23,6 +23,10 @@
 	Out bool
 	// AvoidUntil is until when the upstream is passed over after a failure.
 	AvoidUntil time.Time
+	// Suspect is true from a failed attempt until the next report, so that an
+	// upstream that can't be reached is not chosen on the strength of an old
+	// report.
+	Suspect bool
 }
 
 // Policy chooses one of several candidates.
@@ -61,7 +65,7 @@
 // usable reports whether the candidate can take one more attempt.
 func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
 	r := &c.Report
-	if c.Out || r.Leaving || !r.Ready || now.Before(c.AvoidUntil) {
+	if c.Out || r.Leaving || !r.Ready || c.Suspect || now.Before(c.AvoidUntil) {
 		return false
 	}
 	if now.Sub(c.ReceivedAt) > maxAge {
