Run an idempotent answer again while none of it has reached the caller

Cause: an answer that is held back until it is whole (a draft, a plain call) counted as relayed from its first frame on, so that losing the upstream ended it as stream_broken although the caller had seen nothing. Ruled out: the agent's memory, which is gone with its host; and a longer wait for a resume, since a killed or cut agent doesn't come back in time. Change: the reply says whether a part has reached the caller, and can be restarted; the retry decision goes by that. The new test fails without it.

--- a/pkg/entry/chat_reply.go
+++ b/pkg/entry/chat_reply.go
@@ -36,6 +36,16 @@
 // End implements pipe.Reply.
 func (w *chatReply) End() error { return w.inner.End() }
 
+// Relayed implements pipe.Reply.
+func (w *chatReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply.
+func (w *chatReply) Restart() {
+	if w.inner != nil {
+		w.inner.Restart()
+	}
+}
+
 // Refuse implements committer.
 func (w *chatReply) Refuse(p *problem.Problem) error {
 	if w.inner == nil {
--- a/pkg/entry/reply.go
+++ b/pkg/entry/reply.go
@@ -71,6 +71,12 @@
 	return w.event("data", []byte("[DONE]"))
 }
 
+// Relayed implements pipe.Reply.
+func (w *eventReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply. Nothing is held back.
+func (w *eventReply) Restart() {}
+
 // Refuse implements committer. A stream that has begun ends with an error event
 // and without the end marker, so that it is not taken for a whole answer.
 func (w *eventReply) Refuse(p *problem.Problem) error {
@@ -186,6 +192,12 @@
 	})
 }
 
+// Relayed implements pipe.Reply.
+func (w *wholeReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply.
+func (w *wholeReply) Restart() { *w = wholeReply{c: w.c} }
+
 // Refuse implements committer.
 func (w *wholeReply) Refuse(p *problem.Problem) error { return refuse(w.c, p) }
 
@@ -207,6 +219,12 @@
 // End implements pipe.Reply.
 func (w *plainReply) End() error { return w.c.Blob(w.status, w.contentType, w.body) }
 
+// Relayed implements pipe.Reply.
+func (w *plainReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply.
+func (w *plainReply) Restart() { *w = plainReply{c: w.c} }
+
 // Refuse implements committer.
 func (w *plainReply) Refuse(p *problem.Problem) error { return refuse(w.c, p) }
 
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -114,6 +114,7 @@
 	j.attempts++
 	if !j.state.Relayed {
 		j.verifier = stream.NewVerifier(j.request.ID)
+		j.request.Reply.Restart()
 	}
 	failed := true
 	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -45,9 +45,10 @@
 	case api.FrameHead:
 		return r.Reply.Head(f.Status, f.ContentType)
 	case api.FrameData:
-		j.state.Progress()
 		r.Spent++
-		return r.Reply.Data(f.Data)
+		err := r.Reply.Data(f.Data)
+		j.state.Progress(r.Reply.Relayed())
+		return err
 	default:
 		return nil
 	}
--- /dev/null
+++ b/pkg/filter/attempt/restart_test.go
@@ -0,0 +1,106 @@
+package attempt
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/fleet"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/scheduler"
+	"github.com/acaciaglade/acaciaglade/pkg/stream"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// agentsInTurn hands out agents in the given order.
+type agentsInTurn struct{ addresses []string }
+
+func (a *agentsInTurn) Acquire(context.Context, scheduler.Request) (fleet.Upstream, error) {
+	if len(a.addresses) == 0 {
+		return fleet.Upstream{}, problem.New(problem.ReasonNoUpstream, "")
+	}
+	u := fleet.Upstream{Address: a.addresses[0]}
+	a.addresses = a.addresses[1:]
+	return u, nil
+}
+func (a *agentsInTurn) Release(string, bool)                 {}
+func (a *agentsInTurn) Report(api.Report)                    {}
+func (a *agentsInTurn) Attain(_, _ string, _ int, _ float64) {}
+
+// heldReply holds the answer back, or relays it at once.
+type heldReply struct {
+	relays bool
+	body   string
+}
+
+func (r *heldReply) Head(int, string) error { return nil }
+func (r *heldReply) Data(part []byte) error { r.body += string(part); return nil }
+func (r *heldReply) End() error             { return nil }
+func (r *heldReply) Relayed() bool          { return r.relays && r.body != "" }
+func (r *heldReply) Restart()               { r.body = "" }
+
+// newAgent answers with the parts, and then ends the answer or breaks it off
+// and is gone.
+func newAgent(t *testing.T, whole bool, parts ...string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != peer.PathAttempts {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		encoder := json.NewEncoder(w)
+		sum := stream.NewChecksum()
+		_ = encoder.Encode(api.Frame{Kind: api.FrameHead, RequestID: "r", Status: http.StatusOK})
+		for i, part := range parts {
+			sum.Add([]byte(part))
+			_ = encoder.Encode(api.Frame{Kind: api.FrameData, RequestID: "r", Seq: i + 1, Data: []byte(part)})
+		}
+		if whole {
+			_ = encoder.Encode(api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeComplete, Count: sum.Count(), Checksum: sum.Sum()})
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// An idempotent answer that breaks off is run again elsewhere as long as none
+// of it has reached the caller.
+func TestBrokenAnswerRestarts(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		relays  bool
+		reason  problem.Reason
+		wantGot string
+	}{
+		{"held back", false, "", "one two"},
+		{"relayed", true, problem.ReasonStreamBroken, "lost"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			agents := &agentsInTurn{addresses: []string{newAgent(t, false, "lost"), newAgent(t, true, "one ", "two")}}
+			h := New(Config{Silence: 5 * time.Second, AskTimeout: time.Second, RetryRatio: 0.1, RetryBurst: 10},
+				agents, peer.NewAgentClient("token"), prometheus.NewRegistry())
+			reply := &heldReply{relays: tc.relays}
+			err := h.Serve(t.Context(), &pipe.Request{
+				ID: "r", Organisation: &table.Organisation{}, Service: &table.Service{},
+				Idempotent: true, Deadline: time.Now().Add(time.Minute), Reply: reply,
+			})
+			var p *problem.Problem
+			reason := problem.Reason("")
+			if errors.As(err, &p) {
+				reason = p.Reason
+			}
+			if reason != tc.reason || reply.body != tc.wantGot {
+				t.Errorf("got %q and reason %q, want %q and %q", reply.body, reason, tc.wantGot, tc.reason)
+			}
+		})
+	}
+}
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -60,6 +60,11 @@
 	Data(part []byte) error
 	// End is called once the whole answer was taken and verified.
 	End() error
+	// Relayed reports whether a part of the answer has reached the caller.
+	Relayed() bool
+	// Restart discards the parts that were taken, as the answer begins anew. It
+	// must not be called once a part has reached the caller.
+	Restart()
 }
 
 // Handler serves a request. A returned error is usually a *problem.Problem.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -120,9 +120,10 @@
 	return Again
 }
 
-// Progress records that a new part of the answer was relayed.
-func (r *Request) Progress() {
-	r.Relayed = true
+// Progress records that a new part of the answer was taken. relayed says
+// whether a part has reached the caller by now, or is still held back.
+func (r *Request) Progress(relayed bool) {
+	r.Relayed = relayed
 	r.Resumes = 0
 }
 
