--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -116,6 +116,7 @@
 	j.refusal = nil
 	if !j.state.Relayed {
 		j.verifier = stream.NewVerifier(j.request.ID)
+		j.request.Reply.Restart()
 	}
 	failed := true
 	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
@@ -141,13 +142,6 @@
 				go j.abandon(u, j.attempts)
 			}
 			return action, nil
-		case retry.BreakOff:
-			if j.restart() {
-				event = retry.Unknown
-				continue
-			}
-			j.abandon(u, j.attempts)
-			return action, j.problem(action)
 		default:
 			j.abandon(u, j.attempts)
 			return action, j.problem(action)
@@ -155,15 +149,6 @@
 	}
 }
 
-// restart forgets an answer that broke off before the caller saw a part of it.
-func (j *job) restart() bool {
-	if !j.request.Idempotent || !j.request.Reply.Reset() {
-		return false
-	}
-	j.state.Restart()
-	return true
-}
-
 // send sends the attempt and relays its answer.
 func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	r := j.request
@@ -184,7 +169,7 @@
 		DeadlineUnixMilli: r.Deadline.UnixMilli(),
 		SentUnixMilli:     time.Now().UnixMilli(),
 		Method:            r.Method,
-		Path:              r.Path,
+		Path:              upstreamPath(r),
 		ContentType:       r.ContentType,
 		Body:              r.Body,
 	})
@@ -195,6 +180,14 @@
 	return j.relay(body, timer)
 }
 
+// upstreamPath returns the path and query of the upstream's call.
+func upstreamPath(r *pipe.Request) string {
+	if r.Query == "" {
+		return r.Path
+	}
+	return r.Path + "?" + r.Query
+}
+
 // resume reads the answer on from where it stopped, on a new connection.
 func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -209,15 +202,19 @@
 	return j.relay(body, timer)
 }
 
-// askPause is the time between two tries of a question that got no connection.
-const askPause = 100 * time.Millisecond
+const (
+	// askTries is how often the state of a request is asked for.
+	askTries = 3
+	// askPause is the time between two tries.
+	askPause = 100 * time.Millisecond
+)
 
-// ask asks the agent for the state of the request. Only a connection that was
-// refused or broken is tried again, until the ask timeout.
+// ask asks the agent for the state of the request. A question that failed is
+// repeated a few times, as the connection may have broken for a moment only.
 func (j *job) ask(u fleet.Upstream) retry.EventKind {
 	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
 	defer cancel()
-	for {
+	for try := 1; ; try++ {
 		outcome, err := j.agents.Withdraw(ctx, u.Address, &api.WithdrawRequest{
 			RequestID:         j.request.ID,
 			Attempt:           j.attempts,
@@ -227,11 +224,10 @@
 		if err == nil {
 			return j.askEvent(outcome)
 		}
-		select {
-		case <-ctx.Done():
+		if try == askTries || ctx.Err() != nil {
 			return retry.Unknown
-		case <-time.After(askPause):
 		}
+		time.Sleep(askPause)
 	}
 }
 
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -120,15 +120,10 @@
 	return Again
 }
 
-// Restart forgets what was relayed of an answer that the caller has not seen.
-func (r *Request) Restart() {
-	r.Relayed = false
-	r.MaybeRan = true
-}
-
-// Progress records that a new part of the answer was relayed.
-func (r *Request) Progress() {
-	r.Relayed = true
+// Progress records that a new part of the answer was taken. relayed says
+// whether a part has reached the caller by now, or is still held back.
+func (r *Request) Progress(relayed bool) {
+	r.Relayed = relayed
 	r.Resumes = 0
 }
 
