--- a/lab/orders/orders.go
+++ b/lab/orders/orders.go
@@ -1,6 +1,6 @@
 // Package orders is a stand-in for a plain order-handling service. POST
 // /orders/confirm is not idempotent; GET /orders/{id} is. Its journal counts
-// from outside what ran.
+// from outside what ran. Its answers can be held back.
 package orders
 
 import (
@@ -26,11 +26,15 @@
 
 	mu      sync.Mutex
 	journal []Entry
+	// held is closed when confirmations may be answered.
+	held chan struct{}
 }
 
 // New returns a stand-in that takes some time for each confirmation.
 func New(delay time.Duration) *Server {
-	return &Server{delay: delay, incarnation: uuid.NewString()}
+	released := make(chan struct{})
+	close(released)
+	return &Server{delay: delay, incarnation: uuid.NewString(), held: released}
 }
 
 // receipt is the answer to a confirmation.
@@ -54,6 +58,18 @@
 	e.GET("/orders/:id", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, receipt{Order: c.Param("id"), Status: "queued"})
 	})
+	e.PUT("/lab/hold", func(c echo.Context) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.held = make(chan struct{})
+		return c.NoContent(http.StatusOK)
+	})
+	e.PUT("/lab/release", func(c echo.Context) error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		close(s.held)
+		return c.NoContent(http.StatusOK)
+	})
 	e.GET("/lab/journal", func(c echo.Context) error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -69,7 +85,9 @@
 	id := c.Request().Header.Get("X-Request-Id")
 	s.mu.Lock()
 	s.journal = append(s.journal, Entry{RequestID: id, Body: string(body)})
+	held := s.held
 	s.mu.Unlock()
 	time.Sleep(s.delay)
+	<-held
 	return c.JSON(http.StatusOK, receipt{Order: uuid.NewString(), RequestID: id, Status: "queued"})
 }
--- /dev/null
+++ b/lab/session/pending.go
@@ -0,0 +1,109 @@
+package session
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Pending is a call whose answer has not been recorded yet.
+type Pending struct {
+	recorder *Recorder
+	first    chan struct{}
+	done     chan struct{}
+	once     sync.Once
+
+	resp *http.Response
+	err  error
+
+	mu   sync.Mutex
+	body []byte
+}
+
+// First returns a channel that is closed once a part of the answer's body has
+// arrived, or the call has ended.
+func (p *Pending) First() <-chan struct{} { return p.first }
+
+// Done returns a channel that is closed once the call has ended.
+func (p *Pending) Done() <-chan struct{} { return p.done }
+
+// Text returns what has arrived of the answer's body.
+func (p *Pending) Text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return string(p.body)
+}
+
+// End waits for the end of the call and records the answer.
+func (p *Pending) End() (status int, body []byte) {
+	<-p.done
+	if p.resp == nil {
+		p.recorder.Line("< no answer")
+		return 0, nil
+	}
+	p.recorder.Line("< %d %s", p.resp.StatusCode, p.resp.Header.Get("Content-Type"))
+	if retry := p.resp.Header.Get("Retry-After"); retry != "" {
+		p.recorder.Line("< Retry-After: %s", retry)
+	}
+	p.recorder.Line("%s", pretty(p.body))
+	if p.err != nil {
+		p.recorder.Line("< the answer broke off")
+	}
+	return p.resp.StatusCode, p.body
+}
+
+// Quiet waits for the end of the call without recording its answer.
+func (p *Pending) Quiet() (status int, body []byte, err error) {
+	<-p.done
+	if p.resp == nil {
+		return 0, nil, p.err
+	}
+	return p.resp.StatusCode, p.body, p.err
+}
+
+func (p *Pending) run(ctx context.Context, c Call) {
+	defer close(p.done)
+	defer p.started()
+	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, strings.NewReader(c.Body))
+	if err != nil {
+		p.err = errors.WithStack(err)
+		return
+	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	for i := 0; i+1 < len(c.Header); i += 2 {
+		req.Header.Set(c.Header[i], c.Header[i+1])
+	}
+	if p.resp, p.err = http.DefaultClient.Do(req); p.err != nil {
+		p.resp = nil
+		return
+	}
+	defer p.resp.Body.Close()
+	p.read()
+}
+
+func (p *Pending) read() {
+	part := make([]byte, 4<<10)
+	for {
+		n, err := p.resp.Body.Read(part)
+		p.mu.Lock()
+		p.body = append(p.body, part[:n]...)
+		p.mu.Unlock()
+		if n > 0 {
+			p.started()
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				p.err = errors.WithStack(err)
+			}
+			return
+		}
+	}
+}
+
+func (p *Pending) started() { p.once.Do(func() { close(p.first) }) }
--- a/lab/session/session.go
+++ b/lab/session/session.go
@@ -8,12 +8,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
+	"net/url"
 	"regexp"
 	"strings"
-
-	"github.com/pkg/errors"
 )
 
 // Recorder is the record of one session.
@@ -46,36 +43,28 @@
 
 // Do makes a call and records it with its answer. It returns the answer's body.
 func (r *Recorder) Do(ctx context.Context, c Call) (status int, body []byte, err error) {
-	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, strings.NewReader(c.Body))
-	if err != nil {
-		return 0, nil, errors.WithStack(err)
-	}
-	if c.Token != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Token)
-	}
-	for i := 0; i+1 < len(c.Header); i += 2 {
-		req.Header.Set(c.Header[i], c.Header[i+1])
-	}
-	r.Line("> %s %s %s", c.Method, req.URL.RequestURI(), strings.Join(c.Header, " "))
+	p := r.Start(ctx, c)
+	status, body = p.End()
+	return status, body, p.err
+}
+
+// Start records a call and makes it in the background.
+func (r *Recorder) Start(ctx context.Context, c Call) *Pending {
+	p := &Pending{recorder: r, first: make(chan struct{}), done: make(chan struct{})}
+	r.Line("> %s %s %s", c.Method, c.path(), strings.Join(c.Header, " "))
 	if c.Body != "" {
 		r.Line("> %s", c.Body)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		r.Line("< no answer")
-		return 0, nil, errors.WithStack(err)
-	}
-	defer resp.Body.Close()
-	body, err = io.ReadAll(resp.Body)
-	r.Line("< %d %s", resp.StatusCode, resp.Header.Get("Content-Type"))
-	if retry := resp.Header.Get("Retry-After"); retry != "" {
-		r.Line("< Retry-After: %s", retry)
-	}
-	r.Line("%s", pretty(body))
+	go p.run(ctx, c)
+	return p
+}
+
+func (c *Call) path() string {
+	u, err := url.Parse(c.URL)
 	if err != nil {
-		r.Line("< the answer broke off")
+		return c.URL
 	}
-	return resp.StatusCode, body, errors.WithStack(err)
+	return u.RequestURI()
 }
 
 // pretty indents JSON and leaves the rest alone.
--- /dev/null
+++ b/lab/sessions/truth_answers_test.go
@@ -0,0 +1,201 @@
+package sessions
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/acaciaglade/acaciaglade/lab/demo"
+	"github.com/acaciaglade/acaciaglade/lab/deploy"
+	"github.com/acaciaglade/acaciaglade/lab/link"
+	"github.com/acaciaglade/acaciaglade/lab/session"
+)
+
+// chatTokens is the length of the answers in these sessions.
+const chatTokens = 20
+
+// answerShape is a deployment with slow answers and quick timeouts.
+func answerShape(models int) deploy.Shape {
+	return deploy.Shape{
+		Entries: 1, Models: models, Links: true,
+		EngineArgs: []string{"--step", "50ms", "--cold-factor", "1"},
+		EntryArgs:  []string{"--silence", "700ms"},
+		AgentArgs:  []string{"--heartbeat", "100ms", "--orphan", "1s", "--healthy-step", "1s"},
+	}
+}
+
+func chatCall(d *deploy.Deployment, streamed bool) session.Call {
+	return session.Call{
+		Method: "POST", URL: d.Entries[0].URL() + "/v1/chat/completions", Token: demo.Token("crateburst"),
+		Body: fmt.Sprintf(`{"model":"draft","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"word"}]}`, streamed, chatTokens),
+	}
+}
+
+// agentLink returns the link from the entry to the first agent.
+func agentLink(t *testing.T, d *deploy.Deployment) *link.Link {
+	t.Helper()
+	l, err := d.Link("entry-0", d.Agents[0].Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// running returns how many requests an engine runs.
+func running(t *testing.T, engine *deploy.Process) int {
+	t.Helper()
+	var load struct {
+		Running int `json:"running"`
+	}
+	quiet(t, "GET", engine.URL()+"/v1/load", &load)
+	return load.Running
+}
+
+// outline says how a streamed answer went, in words that are the same whenever
+// the failure came.
+func outline(body []byte) string {
+	got, ending := 0, "no ending"
+	for _, event := range bytes.Split(body, []byte("\n\n")) {
+		text := string(event)
+		switch {
+		case strings.HasPrefix(text, "event: error"):
+			ending = text
+		case text == "data: [DONE]":
+			ending = text
+		case strings.Contains(text, fmt.Sprintf("word-%d ", got+1)):
+			got++
+		case text != "":
+			return "gap, repeat or foreign part: " + text
+		}
+	}
+	if got < chatTokens {
+		return "a part of the tokens, without gap or repeat, then\n" + ending
+	}
+	return fmt.Sprintf("all %d tokens, without gap or repeat, then\n%s", got, ending)
+}
+
+func TestTruthSilentStreamResumes(t *testing.T) {
+	d := start(t, answerShape(1))
+	r := &session.Recorder{}
+	r.Note("all open connections to the agent go silent in the middle of the answer, twice")
+	p := r.Start(t.Context(), chatCall(d, true))
+	<-p.First()
+	agentLink(t, d).Silence()
+	half := fmt.Sprintf("word-%d ", chatTokens/2)
+	eventually(t, "half of the answer", func() bool { return strings.Contains(p.Text(), half) })
+	agentLink(t, d).Silence()
+	_, body, err := p.Quiet()
+	r.Line("%s; error: %v", outline(body), err)
+	golden(t, r)
+}
+
+func TestTruthBrokenConnectionResumes(t *testing.T) {
+	d := start(t, answerShape(1))
+	r := &session.Recorder{}
+	for _, n := range []int{1, 200, 500, 1000, 2000, 4000} {
+		r.Note("a connection to the agent breaks after %d bytes", n)
+		agentLink(t, d).BreakAfter(n)
+		_, body, err := r.Start(t.Context(), chatCall(d, true)).Quiet()
+		r.Line("%s; error: %v", outline(body), err)
+	}
+	golden(t, r)
+}
+
+func TestTruthAgentKilledInAnswer(t *testing.T) {
+	d := start(t, answerShape(1))
+	r := &session.Recorder{}
+	r.Note("the agent is killed in the middle of a streamed answer")
+	p := r.Start(t.Context(), chatCall(d, true))
+	<-p.First()
+	if err := d.Agents[0].Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	_, body, err := p.Quiet()
+	r.Line("%s\nerror: %v", outline(body), err)
+	golden(t, r)
+}
+
+// loseOne makes one of two upstreams lose a whole answer that has not reached
+// the caller, and expects it from the other one.
+func loseOne(t *testing.T, what string, victim func(d *deploy.Deployment, i int) *deploy.Process) {
+	d := start(t, answerShape(2))
+	r := &session.Recorder{}
+	r.Note("%s is killed while it makes an answer in one piece", what)
+	p := r.Start(t.Context(), chatCall(d, false))
+	busy := -1
+	eventually(t, "an engine at work", func() bool {
+		for i, u := range d.Upstreams {
+			if running(t, u) > 0 {
+				busy = i
+			}
+		}
+		return busy >= 0
+	})
+	if err := victim(d, busy).Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	p.End()
+	golden(t, r)
+}
+
+func TestTruthAnswerRestartsElsewhere(t *testing.T) {
+	loseOne(t, "the agent", func(d *deploy.Deployment, i int) *deploy.Process { return d.Agents[i] })
+}
+
+func TestTruthTruncatedEngineStream(t *testing.T) {
+	loseOne(t, "the engine", func(d *deploy.Deployment, i int) *deploy.Process { return d.Upstreams[i] })
+}
+
+func TestTruthEngineKilledInStream(t *testing.T) {
+	d := start(t, answerShape(1))
+	r := &session.Recorder{}
+	r.Note("the engine is killed in the middle of a streamed answer")
+	p := r.Start(t.Context(), chatCall(d, true))
+	<-p.First()
+	if err := d.Upstreams[0].Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	_, body, err := p.Quiet()
+	r.Line("%s\nerror: %v", outline(body), err)
+	golden(t, r)
+}
+
+// longCall asks for an answer that outlasts the test's failures.
+func longCall(d *deploy.Deployment) session.Call {
+	c := chatCall(d, true)
+	c.Body = strings.Replace(c.Body, fmt.Sprint(chatTokens), "2000", 1)
+	return c
+}
+
+func TestTruthAbandonedAnswerIsCancelled(t *testing.T) {
+	d := start(t, answerShape(1))
+	r := &session.Recorder{}
+	r.Note("the entry is killed in the middle of an answer")
+	p := r.Start(t.Context(), longCall(d))
+	<-p.First()
+	if err := d.Entries[0].Signal(syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	_, body, err := p.Quiet()
+	r.Line("%s; broke off: %t", outline(body), err != nil)
+	eventually(t, "engine idle", func() bool { return running(t, d.Upstreams[0]) == 0 })
+	r.Note("the engine stopped")
+	golden(t, r)
+}
+
+func TestTruthCallerGoneIsCancelled(t *testing.T) {
+	d := start(t, answerShape(1))
+	r := &session.Recorder{}
+	ctx, leave := context.WithCancel(t.Context())
+	r.Note("the caller goes away in the middle of an answer")
+	p := r.Start(ctx, longCall(d))
+	<-p.First()
+	leave()
+	<-p.Done()
+	eventually(t, "engine idle", func() bool { return running(t, d.Upstreams[0]) == 0 })
+	r.Note("the engine stopped")
+	golden(t, r)
+}
--- /dev/null
+++ b/lab/sessions/truth_notrun_test.go
@@ -0,0 +1,254 @@
+package sessions
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/lab/demo"
+	"github.com/acaciaglade/acaciaglade/lab/deploy"
+	"github.com/acaciaglade/acaciaglade/lab/objectapi"
+	"github.com/acaciaglade/acaciaglade/lab/orders"
+	"github.com/acaciaglade/acaciaglade/lab/session"
+)
+
+// eventually waits until fn reports true.
+func eventually(t *testing.T, what string, fn func() bool) {
+	t.Helper()
+	deadline := time.After(20 * time.Second)
+	for !fn() {
+		select {
+		case <-deadline:
+			t.Fatalf("not seen: %s", what)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// quiet makes a call that is not part of the record.
+func quiet(t *testing.T, method, url string, out any) {
+	t.Helper()
+	_, body, err := (&session.Recorder{}).Start(t.Context(), session.Call{Method: method, URL: url}).Quiet()
+	if err == nil && out != nil {
+		err = json.Unmarshal(body, out)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// visit is a session of a caller whose work is not idempotent.
+type visit struct {
+	*session.Recorder
+	t      *testing.T
+	d      *deploy.Deployment
+	orders *deploy.Process
+}
+
+func newVisit(t *testing.T, shape deploy.Shape) *visit {
+	t.Helper()
+	d := start(t, shape)
+	return &visit{Recorder: &session.Recorder{}, t: t, d: d, orders: d.Upstreams[shape.Models]}
+}
+
+func (v *visit) agent() *deploy.Process { return v.d.Agents[len(v.d.Agents)-1] }
+
+func (v *visit) confirmCall(entry int, header ...string) session.Call {
+	return session.Call{
+		Method: "POST", URL: v.d.Entries[entry].URL() + "/services/orders/orders/confirm",
+		Token: demo.Token("crateburst"), Header: header, Body: `{"item":"balloons"}`,
+	}
+}
+
+// confirm starts the confirmation of a job.
+func (v *visit) confirm(entry int, header ...string) *session.Pending {
+	return v.Start(v.t.Context(), v.confirmCall(entry, header...))
+}
+
+func (v *visit) hold()    { quiet(v.t, "PUT", v.orders.URL()+"/lab/hold", nil) }
+func (v *visit) release() { quiet(v.t, "PUT", v.orders.URL()+"/lab/release", nil) }
+
+func (v *visit) journal() (entries []orders.Entry) {
+	quiet(v.t, "GET", v.orders.URL()+"/lab/journal", &entries)
+	return entries
+}
+
+// untilRun waits until the order service has received n confirmations.
+func (v *visit) untilRun(n int) {
+	eventually(v.t, "confirmation at the order service", func() bool { return len(v.journal()) == n })
+}
+
+// untilConfirmed repeats a confirmation until it is answered, and records the
+// last answer.
+func (v *visit) untilConfirmed(entry int, header ...string) {
+	eventually(v.t, "confirmed", func() bool {
+		status, _, _ := (&session.Recorder{}).Start(v.t.Context(), v.confirmCall(entry, header...)).Quiet()
+		return status == http.StatusOK
+	})
+	v.confirm(entry, header...).End()
+}
+
+// untilServed waits until idempotent work is served.
+func (v *visit) untilServed() {
+	c := session.Call{Method: "GET", URL: v.d.Entries[0].URL() + "/services/orders/orders/1", Token: demo.Token("crateburst")}
+	eventually(v.t, "idempotent work served", func() bool {
+		status, _, _ := (&session.Recorder{}).Start(v.t.Context(), c).Quiet()
+		return status == http.StatusOK
+	})
+}
+
+func (v *visit) faults(f objectapi.Faults) {
+	if err := deploy.Put(v.t.Context(), v.d.Objects.URL()+"/lab/faults", f); err != nil {
+		v.t.Fatal(err)
+	}
+}
+
+// end records what ran and compares the session with its golden file.
+func (v *visit) end() {
+	v.Note("the order service ran %d", len(v.journal()))
+	golden(v.t, v.Recorder)
+}
+
+func (v *visit) signal(p *deploy.Process, s syscall.Signal) {
+	if err := p.Signal(s); err != nil {
+		v.t.Fatal(err)
+	}
+}
+
+func TestTruthAgentKilled(t *testing.T) {
+	v := newVisit(t, deploy.Shape{Entries: 1, Orders: 1})
+	v.hold()
+	v.Note("the agent is killed while a confirmation runs")
+	p := v.confirm(0, "Idempotency-Key", "order-1")
+	v.untilRun(1)
+	v.signal(v.agent(), syscall.SIGKILL)
+	p.End()
+	if err := v.agent().Wait(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := v.d.Restart(v.agent()); err != nil {
+		t.Fatal(err)
+	}
+	v.release()
+	v.untilServed()
+	v.Note("the same key again, after the agent's restart")
+	v.confirm(0, "Idempotency-Key", "order-1").End()
+	v.end()
+}
+
+func TestTruthAgentPaused(t *testing.T) {
+	v := newVisit(t, deploy.Shape{Entries: 1, Orders: 1})
+	v.faults(objectapi.Faults{DelayMillis: 1000})
+	var before objectapi.Counts
+	quiet(t, "GET", v.d.Objects.URL()+"/lab/counts", &before)
+	v.Note("the agent is paused between claim and dispatch, until after the deadline")
+	p := v.confirm(0, "Idempotency-Key", "order-1", "X-Deadline-Ms", "1500")
+	eventually(t, "claim at the object API", func() bool {
+		var counts objectapi.Counts
+		quiet(t, "GET", v.d.Objects.URL()+"/lab/counts", &counts)
+		return counts.Writes > before.Writes
+	})
+	v.signal(v.agent(), syscall.SIGSTOP)
+	p.End()
+	v.Note("the order service ran %d", len(v.journal()))
+	v.faults(objectapi.Faults{})
+	v.signal(v.agent(), syscall.SIGCONT)
+	v.Note("the agent goes on; the same key again")
+	v.untilConfirmed(0, "Idempotency-Key", "order-1")
+	v.end()
+}
+
+func TestTruthStoreLosesAnswers(t *testing.T) {
+	v := newVisit(t, deploy.Shape{Entries: 1, Orders: 1})
+	v.faults(objectapi.Faults{LoseAnswers: true})
+	v.Note("the object API loses the answer of every write after it took effect")
+	v.confirm(0, "Idempotency-Key", "order-1").End()
+	v.confirm(0, "Idempotency-Key", "order-1").End()
+	v.end()
+}
+
+func TestTruthStoreDown(t *testing.T) {
+	v := newVisit(t, deploy.Shape{Entries: 1, Models: 1, Orders: 1})
+	v.faults(objectapi.Faults{Down: true})
+	v.Note("the object API is down; work with a key is refused")
+	v.confirm(0, "Idempotency-Key", "order-1").End()
+	v.Note("all other work goes on")
+	v.confirm(0).End()
+	token, entry := demo.Token("crateburst"), v.d.Entries[0].URL()
+	call(t, v.Recorder, session.Call{Method: "GET", URL: entry + "/services/orders/orders/17", Token: token})
+	call(t, v.Recorder, session.Call{Method: "POST", URL: entry + "/v1/chat/completions", Token: token, Body: `{"model":"draft","max_tokens":2,"messages":[{"role":"user","content":"hello"}]}`})
+	v.Note("the order service ran %d", len(v.journal()))
+	v.faults(objectapi.Faults{})
+	v.Note("the object API is back; the same key again")
+	v.confirm(0, "Idempotency-Key", "order-1").End()
+	v.end()
+}
+
+func TestTruthSameKeyThroughTwoEntries(t *testing.T) {
+	v := newVisit(t, deploy.Shape{Entries: 2, Orders: 2})
+	v.hold()
+	for _, o := range v.d.Upstreams[1:] {
+		quiet(t, "PUT", o.URL()+"/lab/hold", nil)
+	}
+	runs := func() (all []orders.Entry) {
+		for _, o := range v.d.Upstreams {
+			var entries []orders.Entry
+			quiet(t, "GET", o.URL()+"/lab/journal", &entries)
+			all = append(all, entries...)
+		}
+		return all
+	}
+	first := v.confirm(0, "Idempotency-Key", "order-1")
+	eventually(t, "first confirmation", func() bool { return len(runs()) == 1 })
+	v.Note("the same key through the other entry")
+	v.confirm(1, "Idempotency-Key", "order-1").End()
+	for _, o := range v.d.Upstreams {
+		quiet(t, "PUT", o.URL()+"/lab/release", nil)
+	}
+	v.Note("the first one's answer, and the same key again")
+	first.End()
+	v.confirm(1, "Idempotency-Key", "order-1").End()
+	const keys = 20
+	var pending []*session.Pending
+	for i := range 2 * keys {
+		c := v.confirmCall(i%2, "Idempotency-Key", fmt.Sprintf("both-%d", i/2))
+		pending = append(pending, (&session.Recorder{}).Start(t.Context(), c))
+	}
+	confirmed := make(map[int]bool)
+	for i, p := range pending {
+		if status, _, _ := p.Quiet(); status == http.StatusOK {
+			confirmed[i/2] = true
+		}
+	}
+	v.Note("%d keys through both entries at once: %d confirmed, the order services ran %d", keys, len(confirmed), len(runs())-1)
+	golden(t, v.Recorder)
+}
+
+func TestTruthEntryCutOff(t *testing.T) {
+	v := newVisit(t, deploy.Shape{Entries: 1, Orders: 1, Links: true, EntryArgs: []string{"--silence", "700ms"}, AgentArgs: []string{"--heartbeat", "100ms"}})
+	l, err := v.d.Link("entry-0", v.agent().Name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.hold()
+	v.Note("the connection goes silent while a confirmation runs")
+	p := v.confirm(0, "Idempotency-Key", "order-1")
+	v.untilRun(1)
+	l.Silence()
+	v.release()
+	p.End()
+	v.hold()
+	v.Note("the entry is cut off while a confirmation runs")
+	p = v.confirm(0, "Idempotency-Key", "order-2")
+	v.untilRun(2)
+	l.Cut()
+	p.End()
+	v.release()
+	l.Heal()
+	v.Note("the same key again")
+	v.untilConfirmed(0, "Idempotency-Key", "order-2")
+	v.end()
+}
--- a/pkg/agent/upstream.go
+++ b/pkg/agent/upstream.go
@@ -159,6 +159,7 @@
 // Markers of server-sent events.
 const (
 	eventField = "data:"
+	eventError = "event: error"
 	eventDone  = "[DONE]"
 )
 
@@ -173,6 +174,9 @@
 		if err != nil {
 			return errors.Wrap(ErrTruncated, err.Error())
 		}
+		if string(bytes.TrimSpace(line)) == eventError {
+			return errors.New("engine ended its stream with an error; send the request again")
+		}
 		event, ok := bytes.CutPrefix(line, []byte(eventField))
 		if !ok {
 			continue
--- /dev/null
+++ b/pkg/filter/attempt/crossed_test.go
@@ -0,0 +1,77 @@
+package attempt
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/stream"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// A connection that carries frames of another request, repeats or skips frames,
+// or ends early is dropped; the answer is read on from the frame that is due.
+func TestBadFramesAreDroppedAndTheAnswerResumes(t *testing.T) {
+	head := api.Frame{Kind: api.FrameHead, RequestID: "r", Status: http.StatusOK}
+	one := api.Frame{Kind: api.FrameData, RequestID: "r", Seq: 1, Data: []byte("one ")}
+	two := api.Frame{Kind: api.FrameData, RequestID: "r", Seq: 2, Data: []byte("two")}
+	sum := stream.NewChecksum()
+	sum.Add(one.Data)
+	sum.Add(two.Data)
+	final := api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeComplete, Count: 2, Checksum: sum.Sum()}
+	short := final
+	short.Count = 1
+	foreign := api.Frame{Kind: api.FrameData, RequestID: "other", Seq: 2, Data: []byte("secret")}
+	foreignEnd := api.Frame{Kind: api.FrameFinal, RequestID: "other", Outcome: api.OutcomeComplete, Count: 1}
+	for name, first := range map[string][]api.Frame{
+		"frame of another request": {head, one, foreign, two, final},
+		"end of another request":   {head, one, foreignEnd},
+		"repeated frame":           {head, one, one, two, final},
+		"missing frame":            {head, two, final},
+		"early end":                {head, one},
+		"wrong count":              {head, one, short},
+		"no head":                  {one, two, final},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := scriptedAgent(t, first, []api.Frame{head, one, two, final})
+			h := New(Config{Silence: 5 * time.Second, AskTimeout: time.Second, RetryRatio: 0.1, RetryBurst: 10},
+				&agentsInTurn{addresses: []string{address}}, peer.NewAgentClient("token"), prometheus.NewRegistry())
+			reply := &heldReply{relays: true}
+			err := h.Serve(t.Context(), &pipe.Request{
+				ID: "r", Organisation: &table.Organisation{}, Service: &table.Service{}, Deadline: time.Now().Add(time.Minute), Reply: reply,
+			})
+			if err != nil || reply.body != "one two" {
+				t.Errorf("got %q and error %v", reply.body, err)
+			}
+		})
+	}
+}
+
+// scriptedAgent answers an attempt with some frames and a resume with others. It
+// says that the request has finished.
+func scriptedAgent(t *testing.T, first, resumed []api.Frame) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		encoder := json.NewEncoder(w)
+		frames := resumed
+		switch {
+		case r.URL.Path == peer.PathWithdraw:
+			_ = encoder.Encode(api.WithdrawReply{Outcome: api.OutcomeComplete})
+			return
+		case r.Method == http.MethodPost:
+			frames = first
+		}
+		for _, f := range frames {
+			_ = encoder.Encode(f)
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
--- a/pkg/filter/attempt/restart_test.go
+++ b/pkg/filter/attempt/restart_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,9 +23,14 @@
 )
 
 // agentsInTurn hands out agents in the given order.
-type agentsInTurn struct{ addresses []string }
+type agentsInTurn struct {
+	mu        sync.Mutex
+	addresses []string
+}
 
 func (a *agentsInTurn) Acquire(context.Context, scheduler.Request) (fleet.Upstream, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if len(a.addresses) == 0 {
 		return fleet.Upstream{}, problem.New(problem.ReasonNoUpstream, "")
 	}
