Spread table versions between entries and page the table

Cause: an entry learned the table only from its own watch, so one that was cut off from the platform kept the old table, one that started during an outage had none, and a write whose answer was lost was reported as failed. Ruled out: polling the store (its reads are counted, and it is what is down) and a full mesh (beyond five peers each entry asks those at distances 1, 4, 16, 64, 256 in the ring of names). Change: entries ask each other for newer heads and wait for them; the table is immutable pages below one conditionally updated head; a lost write is recognised by its ID; an "out" is in force at once, spreads as a provisional mark, wins over "in", and is settled in the table when the store answers. Conclusion: an accepted change no longer depends on any one path.

--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -228,11 +228,7 @@
 		return nil, errors.WithStack(err)
 	}
 	p := &Process{Name: name, Address: address, Domain: domain, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		log.Close()
-		close(p.done)
-	}()
+	go p.reap(log)
 	d.processes = append(d.processes, p)
 	return p, nil
 }
--- a/lab/objectapi/objectapi.go
+++ b/lab/objectapi/objectapi.go
@@ -76,6 +76,7 @@
 	g.POST("/:kind", s.create)
 	g.GET("/:kind/:name", s.get)
 	g.PUT("/:kind/:name", s.update)
+	g.DELETE("/:kind/:name", s.remove)
 	e.PUT("/lab/faults", s.setFaults)
 	e.GET("/lab/counts", func(c echo.Context) error {
 		s.mu.Lock()
@@ -191,16 +192,34 @@
 	return c.JSON(http.StatusOK, s.store(k, o, "MODIFIED"))
 }
 
+func (s *Server) remove(c echo.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{c.Param("kind"), c.Param("name")}
+	o, exists := s.objects[k]
+	if !exists {
+		return c.NoContent(http.StatusNotFound)
+	}
+	delete(s.objects, k)
+	s.change("DELETED", o)
+	return c.JSON(http.StatusOK, o)
+}
+
 // store writes an object. The caller holds the lock.
 func (s *Server) store(k key, o objects.Object, change string) objects.Object {
 	s.version++
 	o.Kind = k.kind
 	o.Metadata.ResourceVersion = strconv.Itoa(s.version)
 	s.objects[k] = o
+	s.change(change, o)
+	return o
+}
+
+// change tells the watches of a change. The caller holds the lock.
+func (s *Server) change(change string, o objects.Object) {
 	s.log = append(s.log, objects.Event{Type: change, Object: o})
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return o
 }
 
 // watch streams the current objects of a kind, and then each change.
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -7,11 +7,11 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/ledger"
+	"github.com/acaciaglade/acaciaglade/pkg/marks"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/warmup"
 )
@@ -35,7 +35,7 @@
 	cfg      Config
 	ledger   *ledger.Ledger
 	limiter  *warmup.Limiter
-	marks    api.Marks
+	marks    marks.Set
 	running  int
 	leaving  bool
 	ready    bool
@@ -101,9 +101,9 @@
 	switch {
 	case g.leaving:
 		return problem.ReasonLeaving, true
-	case slices.Contains(g.marks.OutFailureDomains, g.cfg.FailureDomain):
+	case g.marks.FailureDomainOut(g.cfg.FailureDomain):
 		return problem.ReasonFailureDomainOut, true
-	case slices.Contains(g.marks.OutUpstreams, g.cfg.Upstream):
+	case g.marks.UpstreamOut(g.cfg.Upstream):
 		return problem.ReasonUpstreamOut, true
 	case !g.ready:
 		return problem.ReasonNotReady, true
@@ -139,14 +139,10 @@
 	return g.ledger.Withdraw(w.RequestID, time.UnixMilli(w.DeadlineUnixMilli), now).Outcome()
 }
 
-// SetMarks takes newer marks and drops older ones. It reports whether the marks
+// SetMarks takes what is newer in marks and drops the rest. It reports whether the marks
 // were taken.
 func (g *Gate) SetMarks(m api.Marks) bool {
-	if m.Version <= g.marks.Version {
-		return false
-	}
-	g.marks = m
-	return true
+	return g.marks.Merge(m)
 }
 
 // Leave closes the gate for good. Running attempts go on.
@@ -171,6 +167,7 @@
 func (g *Gate) Report() api.Report {
 	g.sequence++
 	_, closed := g.closed()
+	held := g.marks.Held()
 	return api.Report{
 		Upstream:      g.cfg.Upstream,
 		FailureDomain: g.cfg.FailureDomain,
@@ -181,7 +178,8 @@
 		Running:       g.running,
 		Leaving:       g.leaving,
 		Ready:         !closed,
-		MarksVersion:  g.marks.Version,
+		MarksVersion:  held.Version,
+		Provisional:   held.Provisional,
 		StepMillis:    float64(g.step) / float64(time.Millisecond),
 		Skew:          g.skew,
 	}
--- a/pkg/api/report.go
+++ b/pkg/api/report.go
@@ -22,6 +22,8 @@
 	Ready bool `json:"ready"`
 	// MarksVersion is the version of the marks that the agent has in force.
 	MarksVersion uint64 `json:"marks_version"`
+	// Provisional lists the marks in force that are not yet in the table.
+	Provisional []ProvisionalOut `json:"provisional,omitempty"`
 	// StepMillis is the upstream's recent step time in milliseconds.
 	StepMillis float64 `json:"step_millis,omitempty"`
 	// Skew is the recent ratio of the slowest rank's step time to the mean.
@@ -31,9 +33,27 @@
 // Marks is the part of the table that agents hold: the failure domains and
 // upstreams that are out of service.
 type Marks struct {
+	// Version is the version of the table that the marks are from.
 	Version           uint64   `json:"version"`
 	OutFailureDomains []string `json:"out_failure_domains"`
 	OutUpstreams      []string `json:"out_upstreams"`
+	// Settled lists the provisional marks that were written into the table at
+	// this version or an earlier one. They are no longer in force by themselves.
+	Settled []string `json:"settled,omitempty"`
+	// Provisional lists the marks that are in force but not yet in the table.
+	Provisional []ProvisionalOut `json:"provisional,omitempty"`
+}
+
+// ProvisionalOut takes a failure domain or an upstream out of service before
+// the change is written into the table.
+type ProvisionalOut struct {
+	// ID is fresh for each mark.
+	ID string `json:"id"`
+	// FailureDomain or Upstream is set, not both.
+	FailureDomain string `json:"failure_domain,omitempty"`
+	Upstream      string `json:"upstream,omitempty"`
+	// Entry is the entry that took the operator's order.
+	Entry string `json:"entry"`
 }
 
 // ReportRequest asks an agent for a report and brings it newer marks.
--- a/pkg/cli/operator.go
+++ b/pkg/cli/operator.go
@@ -112,6 +112,18 @@
 	return nil
 }
 
+func (c *connection) printMark(r *operator.MarkResult) error {
+	if c.JSON {
+		return printJSON(r)
+	}
+	if r.Provisional {
+		fmt.Println("in force, not yet written:", r.Remedy)
+		return nil
+	}
+	fmt.Printf("accepted as version %d\n", r.Version)
+	return nil
+}
+
 // read returns the table that the file describes.
 func (c *tableApplyCommand) read(ctx context.Context) (*table.Table, error) {
 	file, err := os.Open(c.Args.File)
@@ -158,11 +170,11 @@
 	if err := c.Args.check(); err != nil {
 		return err
 	}
-	t, err := c.client().MarkFailureDomain(context.Background(), c.Args.Name, c.Args.Mark)
+	result, err := c.client().MarkFailureDomain(context.Background(), c.Args.Name, c.Args.Mark)
 	if err != nil {
 		return err
 	}
-	return c.printAccepted(t)
+	return c.printMark(result)
 }
 
 type upstreamCommand struct {
@@ -175,11 +187,11 @@
 	if err := c.Args.check(); err != nil {
 		return err
 	}
-	t, err := c.client().MarkUpstream(context.Background(), c.Args.Name, c.Args.Mark)
+	result, err := c.client().MarkUpstream(context.Background(), c.Args.Name, c.Args.Mark)
 	if err != nil {
 		return err
 	}
-	return c.printAccepted(t)
+	return c.printMark(result)
 }
 
 type statusCommand struct {
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -51,12 +51,13 @@
 
 func newEntry(s *settings.Entry) *entry.Entry {
 	agents := peer.NewAgentClient(s.PeerToken)
-	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout))
+	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout), s.Name)
 	view := fleet.New(fleet.Config{
-		ReportInterval: s.ReportInterval,
-		HostsInterval:  s.HostsInterval,
-		MaxReportAge:   s.MaxReportAge,
-		Seed:           maphash.Comparable(maphash.MakeSeed(), s.Name),
+		ReportInterval:   s.ReportInterval,
+		HostsInterval:    s.HostsInterval,
+		MaxReportAge:     s.MaxReportAge,
+		MergeProvisional: store.MergeProvisional,
+		Seed:             maphash.Comparable(maphash.MakeSeed(), s.Name),
 		Scheduler: scheduler.Config{
 			MaxWaiting:        s.MaxWaiting,
 			AvoidAfterFailure: s.AvoidAfter,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -25,7 +25,6 @@
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
-	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
 )
 
@@ -57,6 +56,7 @@
 	cfg      Config
 	store    *tablestore.Store
 	fleet    *fleet.Fleet
+	exchange *tablestore.Exchange
 	chain    pipe.Handler
 	api      *operator.API
 	registry *prometheus.Registry
@@ -73,6 +73,7 @@
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
+		exchange: tablestore.NewExchange(store, peer.NewEntryClient(cfg.PeerToken), f.Hosts),
 		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f),
 		registry: reg,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -102,7 +103,7 @@
 	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.GET("/readyz", e.ready)
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
-	s.GET(peer.PathTable, e.peerTable, peer.RequireToken(e.cfg.PeerToken))
+	e.store.RegisterPeer(s.Group("", peer.RequireToken(e.cfg.PeerToken)))
 	e.api.Register(s)
 	s.POST("/v1/chat/completions", e.chat)
 	s.Any("/services/:service/*", e.plain)
@@ -115,15 +116,6 @@
 	return c.NoContent(http.StatusOK)
 }
 
-// peerTable gives the table to another entry.
-func (e *Entry) peerTable(c echo.Context) error {
-	ix := e.store.Index()
-	if ix == nil {
-		return c.JSON(http.StatusOK, &table.Table{})
-	}
-	return c.JSON(http.StatusOK, ix.Table())
-}
-
 // serve runs a request through the filters and answers refusals.
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
@@ -186,5 +178,7 @@
 // Run follows the platform's store and the fleet until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	go e.store.Watch(ctx)
+	go e.store.SettleProvisional(ctx)
+	go e.exchange.Run(ctx)
 	e.fleet.Run(ctx)
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -28,6 +28,9 @@
 	HostsInterval time.Duration
 	// MaxReportAge is the age beyond which a report is not used.
 	MaxReportAge time.Duration
+	// MergeProvisional takes the marks of a report that are not yet in the
+	// table.
+	MergeProvisional func([]api.ProvisionalOut)
 	// Seed seeds the choice of upstreams.
 	Seed uint64
 	// Scheduler is the settings of the scheduler.
@@ -53,6 +56,7 @@
 	addresses map[string]string
 	pollers   map[string]context.CancelFunc
 	entries   int
+	hosts     []hosts.Host
 	index     *table.Index
 }
 
--- a/pkg/fleet/poll.go
+++ b/pkg/fleet/poll.go
@@ -8,6 +8,13 @@
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
 )
 
+// Hosts returns the hosts of the host list that was read last.
+func (f *Fleet) Hosts() []hosts.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts
+}
+
 // readHosts starts and stops the pollers of agents to match the host list.
 func (f *Fleet) readHosts(ctx context.Context) {
 	list, err := f.list.List(ctx)
@@ -29,6 +36,7 @@
 		f.startPoller(ctx, h.Name)
 	}
 	f.entries = max(1, entries)
+	f.hosts = list
 	for name, stop := range f.pollers {
 		if !current[name] {
 			stop()
@@ -50,7 +58,7 @@
 func (f *Fleet) poll(ctx context.Context, name string) {
 	ticker := time.NewTicker(f.cfg.ReportInterval)
 	defer ticker.Stop()
-	var known uint64
+	var known api.Report
 	for {
 		known = f.pollOnce(ctx, name, known)
 		select {
@@ -61,16 +69,17 @@
 	}
 }
 
-// pollOnce returns the version of the marks that the agent has in force.
-func (f *Fleet) pollOnce(ctx context.Context, name string, known uint64) uint64 {
+// pollOnce reads an agent's report and brings it marks that it lacked at its
+// latest report. It returns its report, or the latest when there is none.
+func (f *Fleet) pollOnce(ctx context.Context, name string, known api.Report) api.Report {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReportInterval)
 	defer cancel()
 	f.mu.Lock()
 	address, index := f.addresses[name], f.index
 	f.mu.Unlock()
 	req := &api.ReportRequest{}
-	if index != nil && index.Table().Version > known {
-		marks := index.Table().Marks()
+	if index != nil && index.MarksNewer(known.MarksVersion, known.Provisional) {
+		marks := index.Marks()
 		req.Marks = &marks
 	}
 	report, err := f.agents.Report(ctx, address, req)
@@ -79,5 +88,8 @@
 		return known
 	}
 	f.Report(report)
-	return report.MarksVersion
+	if len(report.Provisional) > 0 {
+		f.cfg.MergeProvisional(report.Provisional)
+	}
+	return report
 }
--- /dev/null
+++ b/pkg/marks/marks_test.go
@@ -0,0 +1,97 @@
+package marks
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// history returns the marks that a fleet sends around: one per table version,
+// each with some of the provisional marks that existed by then.
+func history(r *rand.Rand) []api.Marks {
+	var all []api.Marks
+	var settled []string
+	for version := range uint64(6) {
+		m := api.Marks{Version: version}
+		if r.IntN(2) == 0 {
+			m.OutFailureDomains = []string{fmt.Sprint("fd-", r.IntN(3))}
+		}
+		if r.IntN(2) == 0 && version > 0 {
+			settled = append(settled, fmt.Sprint("mark-", r.IntN(int(version))))
+		}
+		m.Settled = append([]string(nil), settled...)
+		for range r.IntN(3) {
+			id := r.IntN(int(version) + 1)
+			m.Provisional = append(m.Provisional, api.ProvisionalOut{ID: fmt.Sprint("mark-", id), FailureDomain: fmt.Sprint("fd-", id%3)})
+		}
+		all = append(all, m)
+	}
+	return all
+}
+
+// checkOrders merges the same marks in two orders, with repeats.
+func checkOrders(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, 0))
+	sent := history(r)
+	var a, b Set
+	for _, i := range r.Perm(len(sent)) {
+		a.Merge(sent[i])
+	}
+	for _, i := range append(r.Perm(len(sent)), r.Perm(len(sent))...) {
+		before := b.Held().Version
+		b.Merge(sent[i])
+		if b.Held().Version < before {
+			return "the version went down"
+		}
+	}
+	if fmt.Sprint(a.Held()) != fmt.Sprint(b.Held()) {
+		return fmt.Sprintf("%v and %v from the same marks", a.Held(), b.Held())
+	}
+	for _, p := range a.Held().Provisional {
+		if !a.FailureDomainOut(p.FailureDomain) {
+			return p.FailureDomain + " is in service with a provisional mark"
+		}
+	}
+	return ""
+}
+
+func TestMergeDoesNotDependOnTheOrder(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 10_000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the same marks in any order make the same set", prop.ForAll(checkOrders, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func TestProvisionalMarkWinsUntilSettled(t *testing.T) {
+	out := api.ProvisionalOut{ID: "1", FailureDomain: "fd-a"}
+	var s Set
+	steps := []struct {
+		what string
+		m    api.Marks
+		out  bool
+	}{
+		{"a table without marks", api.Marks{Version: 1}, false},
+		{"a provisional mark", api.Marks{Provisional: []api.ProvisionalOut{out}}, true},
+		{"a newer table that does not know it", api.Marks{Version: 2}, true},
+		{"a table with the mark written", api.Marks{Version: 3, OutFailureDomains: []string{"fd-a"}, Settled: []string{"1"}}, true},
+		{"the failure domain in again", api.Marks{Version: 4, Settled: []string{"1"}}, false},
+		{"the mark again, from a host that was cut off", api.Marks{Version: 2, Provisional: []api.ProvisionalOut{out}}, false},
+	}
+	for _, step := range steps {
+		s.Merge(step.m)
+		if got := s.FailureDomainOut("fd-a"); got != step.out {
+			t.Errorf("after %s: out is %t", step.what, got)
+		}
+	}
+	if want := uint64(4); s.Held().Version != want || !reflect.DeepEqual(s.Held().Settled, []string{"1"}) {
+		t.Errorf("holds %v", s.Held())
+	}
+}
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -68,7 +68,13 @@
 	Watch(ctx context.Context, kind string, fn func(Event)) error
 }
 
-// Client is a Store over HTTP.
+// Remover removes objects.
+type Remover interface {
+	// Delete removes an object. It returns ErrNotFound when there is none.
+	Delete(ctx context.Context, kind, name string) error
+}
+
+// Client is a Store and a Remover over HTTP.
 type Client struct {
 	base    string
 	http    *http.Client
@@ -109,6 +115,12 @@
 	return c.call(ctx, http.MethodPut, kind, name, o)
 }
 
+// Delete implements Remover.
+func (c *Client) Delete(ctx context.Context, kind, name string) error {
+	_, err := c.call(ctx, http.MethodDelete, kind, name, nil)
+	return err
+}
+
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, kind string, fn func(Event)) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/"+kind+"?watch=1", nil)
@@ -189,4 +201,7 @@
 	}
 }
 
-var _ Store = (*Client)(nil)
+var (
+	_ Store   = (*Client)(nil)
+	_ Remover = (*Client)(nil)
+)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -42,14 +42,14 @@
 }
 
 // MarkFailureDomain marks a failure domain "out" or "in".
-func (c *Client) MarkFailureDomain(ctx context.Context, name, mark string) (*table.Table, error) {
-	var accepted table.Table
+func (c *Client) MarkFailureDomain(ctx context.Context, name, mark string) (*MarkResult, error) {
+	var accepted MarkResult
 	return &accepted, c.call(ctx, http.MethodPut, "/failure-domains/"+url.PathEscape(name)+"/"+mark, nil, &accepted)
 }
 
 // MarkUpstream marks an upstream "out" or "in".
-func (c *Client) MarkUpstream(ctx context.Context, name, mark string) (*table.Table, error) {
-	var accepted table.Table
+func (c *Client) MarkUpstream(ctx context.Context, name, mark string) (*MarkResult, error) {
+	var accepted MarkResult
 	return &accepted, c.call(ctx, http.MethodPut, "/upstreams/"+url.PathEscape(name)+"/"+mark, nil, &accepted)
 }
 
@@ -79,7 +79,7 @@
 		return errors.Wrap(err, "entry can't be reached; try another --entry")
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return readProblem(resp)
 	}
 	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "answer can't be read; check that --entry is an entry")
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -6,13 +6,13 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
-	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
@@ -93,11 +93,12 @@
 			Problem: problem.New(problem.ReasonInvalidTable, ""), Faults: faults,
 		})
 	}
-	return a.change(c, func(current *table.Table) (*table.Table, *problem.Problem) {
-		if current.Version != t.Version {
-			return nil, problem.New(problem.ReasonVersionConflict, "")
+	return a.change(c, func(d *tablestore.Draft) error {
+		if d.Version != t.Version {
+			return problem.New(problem.ReasonVersionConflict, fmt.Sprintf("version %d was read, the table has version %d", t.Version, d.Version))
 		}
-		return &t, nil
+		d.Table = &t
+		return nil
 	})
 }
 
@@ -107,56 +108,31 @@
 	Faults table.Faults `json:"faults"`
 }
 
-func (a *API) markFailureDomain(c echo.Context) error {
-	out, ok := parseMark(c.Param("mark"))
-	if !ok {
-		return WriteProblem(c, problem.New(problem.ReasonNotFound, "the mark is out or in"))
-	}
-	return a.change(c, func(t *table.Table) (*table.Table, *problem.Problem) {
-		if !t.SetFailureDomain(c.Param("name"), out) {
-			return nil, problem.New(problem.ReasonNotFound, "no such failure domain")
-		}
-		return t, nil
-	})
-}
-
-func (a *API) markUpstream(c echo.Context) error {
-	out, ok := parseMark(c.Param("mark"))
-	if !ok {
-		return WriteProblem(c, problem.New(problem.ReasonNotFound, "the mark is out or in"))
-	}
-	return a.change(c, func(t *table.Table) (*table.Table, *problem.Problem) {
-		t.SetUpstream(c.Param("name"), out)
-		return t, nil
-	})
-}
-
-func parseMark(mark string) (out, ok bool) {
-	return mark == "out", mark == "out" || mark == "in"
-}
-
 // changeTimeout bounds a change of the table.
 const changeTimeout = 5 * time.Second
 
-// change reads the table, applies an edit, and writes it.
-func (a *API) change(c echo.Context, edit func(*table.Table) (*table.Table, *problem.Problem)) error {
+// change edits the table and answers with the accepted one.
+func (a *API) change(c echo.Context, edit tablestore.Edit) error {
 	ctx, cancel := context.WithTimeout(c.Request().Context(), changeTimeout)
 	defer cancel()
-	current, version, err := a.store.Read(ctx)
+	accepted, err := a.store.Change(ctx, edit)
 	if err != nil {
-		return WriteProblem(c, problem.New(problem.ReasonStoreUnavailable, err.Error()))
-	}
-	edited, refusal := edit(current.Clone())
-	if refusal != nil {
-		return WriteProblem(c, refusal)
+		return WriteProblem(c, changeProblem(err))
 	}
-	switch err := a.store.Write(ctx, edited, version); {
-	case errors.Is(err, objects.ErrConflict):
-		return WriteProblem(c, problem.New(problem.ReasonVersionConflict, ""))
-	case err != nil:
-		return WriteProblem(c, problem.New(problem.ReasonStoreUnavailable, err.Error()))
+	return c.JSON(http.StatusOK, accepted)
+}
+
+// changeProblem says what became of a change that was not accepted.
+func changeProblem(err error) *problem.Problem {
+	var p *problem.Problem
+	switch {
+	case errors.As(err, &p):
+		return p
+	case errors.Is(err, tablestore.ErrNotWritten):
+		return problem.New(problem.ReasonStoreUnavailable, err.Error())
+	default:
+		return problem.New(problem.ReasonChangeUnknown, err.Error())
 	}
-	return c.JSON(http.StatusOK, edited)
 }
 
 // UpstreamStatus is what an entry knows of one upstream.
--- a/pkg/table/check.go
+++ b/pkg/table/check.go
@@ -137,3 +137,13 @@
 		Remedy: fmt.Sprintf("row %d has the same value; give another one", first),
 	})
 }
+
+// CheckName returns the fault of a name that a new row of a sheet would have,
+// or nil.
+func CheckName(sheet, name string) Faults {
+	err := validate.Var(name, "required,max=63,hostname_rfc1123")
+	if err == nil {
+		return nil
+	}
+	return Faults{{Sheet: sheet, Row: 0, Column: "name", Value: name, Remedy: "use at most 63 letters, digits, dots and hyphens, beginning and ending with a letter or digit"}}
+}
--- a/pkg/table/index.go
+++ b/pkg/table/index.go
@@ -1,28 +1,27 @@
 package table
 
 import (
-	"slices"
 	"strings"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/marks"
 )
 
 // Index answers look-ups on one version of the table.
 type Index struct {
-	table        *Table
-	byToken      map[string]*Organisation
-	services     map[string]*Service
-	outDomains   []string
-	outUpstreams []string
+	table    *Table
+	byToken  map[string]*Organisation
+	services map[string]*Service
+	marks    marks.Set
 }
 
 // NewIndex builds the index of a table. The table must not change afterwards.
 func NewIndex(t *Table) *Index {
-	marks := t.Marks()
 	ix := &Index{
-		table:        t,
-		byToken:      make(map[string]*Organisation, len(t.Organisations)),
-		services:     make(map[string]*Service, len(t.Services)),
-		outDomains:   marks.OutFailureDomains,
-		outUpstreams: marks.OutUpstreams,
+		table:    t,
+		byToken:  make(map[string]*Organisation, len(t.Organisations)),
+		services: make(map[string]*Service, len(t.Services)),
+		marks:    marks.NewSet(t.Marks()),
 	}
 	for i := range t.Organisations {
 		ix.byToken[t.Organisations[i].TokenHash] = &t.Organisations[i]
@@ -33,6 +32,21 @@
 	return ix
 }
 
+// WithMarks returns an index of the same table with other marks in force.
+func (ix *Index) WithMarks(m marks.Set) *Index {
+	c := *ix
+	c.marks = m
+	return &c
+}
+
+// Marks returns the marks in force, with those not yet in the table.
+func (ix *Index) Marks() api.Marks { return ix.marks.Held() }
+
+// MarksNewer reports whether the marks in force are newer than a holder's.
+func (ix *Index) MarksNewer(version uint64, provisional []api.ProvisionalOut) bool {
+	return ix.marks.Newer(version, provisional)
+}
+
 // Table returns the indexed table.
 func (ix *Index) Table() *Table { return ix.table }
 
@@ -46,7 +60,7 @@
 
 // Out reports whether an upstream or its failure domain is out of service.
 func (ix *Index) Out(upstream, domain string) bool {
-	return slices.Contains(ix.outDomains, domain) || slices.Contains(ix.outUpstreams, upstream)
+	return ix.marks.FailureDomainOut(domain) || ix.marks.UpstreamOut(upstream)
 }
 
 // Idempotent reports whether a call of the service may be repeated.
--- /dev/null
+++ b/pkg/tablestore/provisional.go
@@ -0,0 +1,106 @@
+package tablestore
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Bounds of the writing of provisional marks.
+const (
+	// settleInterval is the time between two tries of the entry that took the
+	// operator's order.
+	settleInterval = time.Second
+	// othersSettleAfter and othersSettleSpread bound the time between two tries
+	// of other entries, which write a mark whose entry is gone.
+	othersSettleAfter  = 2 * time.Second
+	othersSettleSpread = 4 * time.Second
+	// settleTimeout bounds one try.
+	settleTimeout = 3 * time.Second
+)
+
+// TakeOut brings a mark in force at this entry at once, without the platform's
+// store. Peers and agents learn it from here.
+func (s *Store) TakeOut(m api.ProvisionalOut) {
+	m.ID = uuid.NewString()
+	m.Entry = s.entry
+	s.MergeProvisional([]api.ProvisionalOut{m})
+}
+
+// Settle writes all provisional marks into the table.
+func (s *Store) Settle(ctx context.Context) (*table.Table, error) {
+	return s.Change(ctx, func(d *Draft) error {
+		for _, m := range s.Marks().Provisional {
+			settle(d, m)
+		}
+		return nil
+	})
+}
+
+func settle(d *Draft, m api.ProvisionalOut) {
+	if d.Settled(m.ID) {
+		return
+	}
+	if m.Upstream != "" {
+		d.SetUpstream(m.Upstream, true)
+	} else {
+		d.SetFailureDomain(m.FailureDomain, true)
+	}
+	d.Settle(m.ID)
+}
+
+// TakeIn edits a mark to be in service, after settling every provisional mark. It needs the
+// platform's store, so that no host that was cut off can bring an older mark back.
+func (s *Store) TakeIn(ctx context.Context, edit Edit) (*table.Table, error) {
+	return s.Change(ctx, func(d *Draft) error {
+		for _, held := range s.Marks().Provisional {
+			settle(d, held)
+		}
+		return edit(d)
+	})
+}
+
+// SettleProvisional writes provisional marks into the table whenever there are
+// any, until ctx ends.
+func (s *Store) SettleProvisional(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		pause, pending := s.settlePause()
+		var retry <-chan time.Time
+		if pending {
+			retry = time.After(pause)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-retry:
+			s.trySettle(ctx)
+		}
+	}
+}
+
+// settlePause returns how long this entry waits before it writes the marks.
+func (s *Store) settlePause() (pause time.Duration, pending bool) {
+	provisional := s.Marks().Provisional
+	for _, m := range provisional {
+		if m.Entry == s.entry {
+			return settleInterval, true
+		}
+	}
+	return othersSettleAfter + rand.N(othersSettleSpread), len(provisional) > 0
+}
+
+func (s *Store) trySettle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if _, err := s.Settle(ctx); err != nil {
+		s.log.WithError(err).Warn("marks not yet written into the table")
+	}
+}
--- a/pkg/tablestore/tablestore.go
+++ b/pkg/tablestore/tablestore.go
@@ -1,42 +1,68 @@
 // Package tablestore keeps the newest table at an entry. It learns versions
 // from the platform's store and from other entries, and never goes back to an
 // older one.
+//
+// The table is kept in the platform's store as pages of organisations, which
+// never change, and one head that names them. The head is written last and only
+// conditionally, so that a change is taken whole or not at all.
 package tablestore
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/marks"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
+	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
 
-// Kind and Name identify the object that holds the table.
+// Kinds and names of the stored objects.
 const (
-	Kind = "tables"
-	Name = "current"
+	HeadKind = "tables"
+	HeadName = "current"
+	PageKind = "tablepages"
 )
 
+// Objects is what the store needs of the platform.
+type Objects interface {
+	objects.Store
+	objects.Remover
+}
+
 // Store keeps the newest table.
 type Store struct {
-	objects objects.Store
+	objects Objects
+	entry   string
 	log     *logrus.Entry
 
 	mu        sync.Mutex
+	holder    tablesync.Holder
+	marks     marks.Set
 	index     *table.Index
 	listeners []func(*table.Index)
+	changed   chan struct{}
+	platform  PlatformView
 }
 
-// New returns a store that holds no table yet.
-func New(o objects.Store) *Store {
-	return &Store{objects: o, log: logging.For("table")}
+// PlatformView is what an entry knows of the platform's store.
+type PlatformView struct {
+	// AnsweredAt is when the store last answered.
+	AnsweredAt time.Time
+	// Err is why it did not answer the latest call, or nil.
+	Err error
+}
+
+// New returns a store of an entry. It holds no table yet.
+func New(o Objects, entry string) *Store {
+	return &Store{objects: o, entry: entry, log: logging.For("table"), changed: make(chan struct{})}
 }
 
 // Subscribe calls fn with each newer version from now on.
@@ -53,87 +79,108 @@
 	return s.index
 }
 
-// Offer takes a table if it is newer than the one held, and reports whether it
-// was.
-func (s *Store) Offer(t *table.Table) bool {
+// Marks returns the marks in force, with those not yet in the table.
+func (s *Store) Marks() api.Marks {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.marks.Held()
+}
+
+// Platform returns what is known of the platform's store.
+func (s *Store) Platform() PlatformView {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.index != nil && t.Version <= s.index.Table().Version {
-		return false
+	return s.platform
+}
+
+// pageSource is where pages are fetched from.
+type pageSource func(ctx context.Context, ref table.PageRef) (table.Page, error)
+
+// maxFetches is how many pages are fetched or written at once.
+const maxFetches = 8
+
+// take brings a newer head in force, after fetching the pages that are missing.
+func (s *Store) take(ctx context.Context, head *table.Head, source pageSource) error {
+	s.mu.Lock()
+	newer := head.Version > s.holder.Head().Version
+	missing := s.holder.Missing(head)
+	s.mu.Unlock()
+	if !newer {
+		return nil
 	}
-	s.index = table.NewIndex(t)
-	s.log.WithField("version", t.Version).Info("table in force")
-	for _, fn := range s.listeners {
-		fn(s.index)
+	pages, err := fetch(ctx, missing, source)
+	if err != nil {
+		return err
 	}
-	return true
+	return s.apply(head, pages)
 }
 
-// Watch follows the platform's store until ctx ends.
-func (s *Store) Watch(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 100 * time.Millisecond
-	pause.MaxInterval = 2 * time.Second
-	for ctx.Err() == nil {
-		err := s.objects.Watch(ctx, Kind, func(e objects.Event) {
-			pause.Reset()
-			s.take(e.Object)
+func fetch(ctx context.Context, refs []table.PageRef, source pageSource) ([]table.Page, error) {
+	pages := make([]table.Page, len(refs))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxFetches)
+	for i, ref := range refs {
+		group.Go(func() error {
+			p, err := source(ctx, ref)
+			if err != nil {
+				return err
+			}
+			pages[i] = p
+			return tablesync.CheckPage(ref, p)
 		})
-		s.log.WithError(err).Debug("watch ended")
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
-		}
 	}
+	return pages, group.Wait()
 }
 
-func (s *Store) take(o objects.Object) {
-	if o.Metadata.Name != Name {
-		return
+// apply brings a newer head in force with the pages that were missing.
+func (s *Store) apply(head *table.Head, pages []table.Page) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.holder.Take(head, pages)
+	if errors.Is(err, tablesync.ErrNotNewer) {
+		return nil
 	}
-	var t table.Table
-	if err := json.Unmarshal(o.Spec, &t); err != nil {
-		s.log.WithError(err).Error("stored table can't be read")
-		return
+	if err != nil {
+		return err
 	}
-	s.Offer(&t)
+	s.marks.Merge(head.Marks())
+	s.index = table.NewIndex(s.holder.Table())
+	s.log.WithField("version", head.Version).Info("table in force")
+	s.notify()
+	return nil
 }
 
-// Read reads the table from the platform's store. A missing table is empty, at
-// version 0.
-func (s *Store) Read(ctx context.Context) (*table.Table, string, error) {
-	o, err := s.objects.Get(ctx, Kind, Name)
-	if errors.Is(err, objects.ErrNotFound) {
-		return &table.Table{}, "", nil
-	}
-	if err != nil {
-		return nil, "", err
+// MergeProvisional takes marks that are not yet in the table.
+func (s *Store) MergeProvisional(provisional []api.ProvisionalOut) {
+	if len(provisional) == 0 {
+		return
 	}
-	var t table.Table
-	if err := json.Unmarshal(o.Spec, &t); err != nil {
-		return nil, "", errors.Wrap(err, "stored table can't be read; restore an earlier one")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.marks.Merge(api.Marks{Provisional: provisional}) {
+		return
 	}
-	s.Offer(&t)
-	return &t, o.Metadata.ResourceVersion, nil
+	s.log.WithField("marks", len(s.marks.Held().Provisional)).Warn("marks in force that are not yet in the table")
+	s.notify()
 }
 
-// Write writes the successor of a table that Read returned with the given
-// resource version. It returns objects.ErrConflict when the table has changed
-// since.
-func (s *Store) Write(ctx context.Context, t *table.Table, resourceVersion string) error {
-	t.Version++
-	var err error
-	if resourceVersion == "" {
-		_, err = s.objects.Create(ctx, Kind, Name, t)
-		if errors.Is(err, objects.ErrExists) {
-			err = objects.ErrConflict
-		}
-	} else {
-		_, err = s.objects.Update(ctx, Kind, Name, resourceVersion, t)
+// notify tells listeners and waiting peers of a change. The caller holds the
+// lock.
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.index == nil {
+		return
 	}
-	if err != nil {
-		return err
+	s.index = s.index.WithMarks(s.marks)
+	for _, fn := range s.listeners {
+		fn(s.index)
 	}
-	s.Offer(t)
-	return nil
+}
+
+// page returns a page of the table in force by its hash.
+func (s *Store) page(hash string) (table.Page, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder.Page(hash)
 }
