Test the table store against failures of the platform

Ruled out: measuring against the stand-in process, which would time HTTP and not the store; a fake at the interface counts the same writes and bytes.

--- /dev/null
+++ b/pkg/tablestore/fake_test.go
@@ -0,0 +1,96 @@
+package tablestore
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+
+	"github.com/acaciaglade/acaciaglade/pkg/objects"
+)
+
+// fakeObjects is a platform's store in memory.
+type fakeObjects struct {
+	mu      sync.Mutex
+	version int
+	stored  map[string]objects.Object
+	// old is the head before the newest one.
+	old objects.Object
+	// down fails every call, lost fails every write after it took effect, and
+	// stale answers reads of the head with the one before.
+	down, lost, stale bool
+	// writes, bytes and largest count what was written.
+	writes, bytes, largest int
+}
+
+func newFake() *fakeObjects { return &fakeObjects{stored: make(map[string]objects.Object)} }
+
+func (f *fakeObjects) set(fn func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fn()
+}
+
+func (f *fakeObjects) Get(_ context.Context, kind, name string) (objects.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, ok := f.stored[kind+"/"+name]
+	switch {
+	case f.down:
+		return o, objects.ErrUnavailable
+	case !ok:
+		return o, objects.ErrNotFound
+	case f.stale && kind == HeadKind:
+		return f.old, nil
+	default:
+		return o, nil
+	}
+}
+
+func (f *fakeObjects) Create(_ context.Context, kind, name string, spec any) (objects.Object, error) {
+	return f.write(kind, name, "", spec, objects.ErrExists)
+}
+
+func (f *fakeObjects) Update(_ context.Context, kind, name, version string, spec any) (objects.Object, error) {
+	return f.write(kind, name, version, spec, objects.ErrConflict)
+}
+
+func (f *fakeObjects) write(kind, name, version string, spec any, conflict error) (objects.Object, error) {
+	raw, err := json.Marshal(spec)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.stored[kind+"/"+name]
+	switch {
+	case err != nil || f.down:
+		return old, objects.ErrUnavailable
+	case old.Metadata.ResourceVersion != version:
+		return old, conflict
+	}
+	f.version++
+	o := objects.Object{Kind: kind, Metadata: objects.Metadata{Name: name, ResourceVersion: strconv.Itoa(f.version)}, Spec: raw}
+	f.stored[kind+"/"+name] = o
+	if kind == HeadKind {
+		f.old = old
+	}
+	f.writes++
+	f.bytes += len(raw)
+	f.largest = max(f.largest, len(raw))
+	if f.lost {
+		return o, objects.ErrUnavailable
+	}
+	return o, nil
+}
+
+func (f *fakeObjects) Delete(_ context.Context, kind, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.stored, kind+"/"+name)
+	return nil
+}
+
+func (f *fakeObjects) Watch(ctx context.Context, _ string, _ func(objects.Event)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+var _ Objects = (*fakeObjects)(nil)
--- a/pkg/tablesync/news.go
+++ b/pkg/tablesync/news.go
@@ -25,6 +25,4 @@
 	Provisional []api.ProvisionalOut `json:"provisional,omitempty"`
 	// Head is set when it is newer than the asker's.
 	Head *table.Head `json:"head,omitempty"`
-	// Leaving is true once the answering entry has started to leave.
-	Leaving bool `json:"leaving,omitempty"`
 }
