--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -16,6 +16,7 @@
 	"github.com/acaciaglade/acaciaglade/lab/hostlist"
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
+	"github.com/acaciaglade/acaciaglade/lab/slope"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
 )
 
@@ -90,6 +91,7 @@
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
+		{"slope", "Measure how use grows with one size", &slope.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
 			panic(err)
--- a/lab/deploy/domain.go
+++ b/lab/deploy/domain.go
@@ -57,15 +57,15 @@
 // addresses that they had.
 func (d *Deployment) RestartDomain(domain string) error {
 	for _, p := range d.inDomain(domain) {
-		if err := d.Restart(p); err != nil {
+		if err := d.startAgain(p); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// Restart starts a process that has ended again, at the address that it had.
-func (d *Deployment) Restart(p *Process) error {
+// startAgain starts a process that has ended again, at the address that it had.
+func (d *Deployment) startAgain(p *Process) error {
 	fresh, err := d.RunAt(p.Address, p.Name, p.Domain, p.program, p.args...)
 	if err != nil {
 		return err
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	result.Experiment, result.Seed = e.Name, c.Seed
-	result.Machine = machine()
+	result.Machine = ThisMachine()
 	result.Command = fmt.Sprintf("lab experiment %s --seed %d", e.Name, c.Seed)
 	return c.write(result)
 }
@@ -114,7 +114,8 @@
 	LoadAverage string `json:"load_average"`
 }
 
-func machine() Machine {
+// ThisMachine describes the machine and how busy it is.
+func ThisMachine() Machine {
 	raw, _ := os.ReadFile("/proc/loadavg")
 	fields := strings.Fields(string(raw))
 	return Machine{Processors: processors(), LoadAverage: strings.Join(fields[:min(3, len(fields))], " ")}
