Add the experiment proxy-cost and mend the slope of the compressed table

The compressed size of the table was read before the writer was closed, and showed 10 bytes for 100 organisations. Ruled out: comparing first tokens, which wait for an engine's step. Conclusion: one command reproduces the cost.

--- a/lab/experiment/bench.go
+++ b/lab/experiment/bench.go
@@ -160,7 +160,10 @@
 	results := make([]load.Result, len(traffic))
 	var group sync.WaitGroup
 	for i, cfg := range traffic {
-		cfg.Entries, cfg.Seed = entries, seed+uint64(i)
+		if cfg.Entries == nil {
+			cfg.Entries = entries
+		}
+		cfg.Seed = seed + uint64(i)
 		cfg.Model, cfg.Service = deploy.ModelService, deploy.OrderService
 		cfg.Poisson, cfg.Resend = true, true
 		group.Go(func() { results[i] = load.Run(ctx, cfg) })
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -27,7 +27,7 @@
 }
 
 // all is every experiment.
-var all = []Experiment{domainLeaves}
+var all = []Experiment{domainLeaves, proxyCost}
 
 // Command is the experiment command.
 type Command struct {
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -26,6 +26,15 @@
 	Phases []Phase `json:"phases"`
 	// Series is figures over time.
 	Series []plot.Series `json:"series"`
+	// Figures is what else was measured.
+	Figures []Figure `json:"figures,omitempty"`
+}
+
+// Figure is one measured figure.
+type Figure struct {
+	Name  string  `json:"name"`
+	Unit  string  `json:"unit"`
+	Value float64 `json:"value"`
 }
 
 // Phase is what became of the requests that were sent in one part of a run.
@@ -79,11 +88,14 @@
 	for _, v := range r.Variants {
 		for _, p := range v.Phases {
 			for _, k := range p.Kinds {
-				fmt.Fprintf(&b, "%-18s %-8s %-8s sent %4d complete %4d late %3d refused %3d failed %3d resent %3d first p95 %4.0f whole p50 %4.0f p99 %4.0f ms %s\n",
+				fmt.Fprintf(&b, "%-18s %-8s %-8s sent %4d complete %4d late %3d refused %3d failed %3d resent %3d first p95 %4.0f whole p50 %.2f p99 %.2f ms %s\n",
 					v.Name, p.Name, k.Kind, k.Sent, k.Complete, k.Late, k.Refused, k.Failed, k.Resent,
 					k.FirstTokenP95, k.WholeP50, k.WholeP99, refusalsText(k.Refusals))
 			}
 		}
+		for _, f := range v.Figures {
+			fmt.Fprintf(&b, "%-18s %s %.1f %s\n", v.Name, f.Name, f.Value, f.Unit)
+		}
 	}
 	return b.String()
 }
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -28,7 +28,9 @@
 
 // Config is the settings of one organisation's traffic.
 type Config struct {
-	Entries      []string
+	Entries []string
+	// Direct calls upstreams in place of entries.
+	Direct       bool
 	Organisation string
 	Token        string
 	Kind         Kind
--- a/lab/load/send.go
+++ b/lab/load/send.go
@@ -39,11 +39,15 @@
 
 // target returns the method, path and body of a request.
 func (c *Config) target() (method, path, body string) {
+	service := "/services/" + c.Service
+	if c.Direct {
+		service = ""
+	}
 	switch c.Kind {
 	case Confirm:
-		return http.MethodPost, "/services/" + c.Service + "/orders/confirm", `{"item":"cufflinks"}`
+		return http.MethodPost, service + "/orders/confirm", `{"item":"cufflinks"}`
 	case Status:
-		return http.MethodGet, "/services/" + c.Service + "/orders/17", ""
+		return http.MethodGet, service + "/orders/17", ""
 	default:
 		return http.MethodPost, "/v1/chat/completions", fmt.Sprintf(
 			`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"one two three"}]}`,
--- a/lab/slope/entries.go
+++ b/lab/slope/entries.go
@@ -101,9 +101,9 @@
 	}
 	seconds := c.Duration.Seconds()
 	return []Figure{
-		{"messages", "a second", float64(a.messages.Load()-messages) / seconds},
-		{"bytes of control", "bytes a second", float64(a.traffic.in.Load()+a.traffic.out.Load()-bytes) / seconds},
-		{"processor", "% of a core", used.processor},
-		{"resident memory", "MB", used.memory},
+		figureOf("messages", "a second", float64(a.messages.Load()-messages)/seconds),
+		figureOf("bytes of control", "bytes a second", float64(a.traffic.in.Load()+a.traffic.out.Load()-bytes)/seconds),
+		figureOf("processor", "% of a core", used.processor),
+		figureOf("resident memory", "MB", used.memory),
 	}, nil
 }
--- a/lab/slope/organisations.go
+++ b/lab/slope/organisations.go
@@ -58,11 +58,11 @@
 	checkCost := processorTime(func() { table.Check(&held) })
 	runtime.KeepAlive(index)
 	return []Figure{
-		{"table as JSON", "bytes", float64(len(raw))},
-		{"table compressed", "bytes", float64(small)},
-		{"table and index in memory", "bytes", float64(memory)},
-		{"taking a change at an entry", "processor ms", cost},
-		{"checking a change at one entry", "processor ms", checkCost},
+		figureOf("table as JSON", "bytes", float64(len(raw))),
+		figureOf("table compressed", "bytes", float64(small)),
+		figureOf("table and index in memory", "bytes", float64(memory)),
+		figureOf("taking a change at an entry", "processor ms", cost),
+		figureOf("checking a change at one entry", "processor ms", checkCost),
 	}, nil
 }
 
@@ -86,7 +86,8 @@
 	if _, err := w.Write(raw); err != nil {
 		return 0, errors.WithStack(err)
 	}
-	return out.Len(), errors.WithStack(w.Close())
+	err := w.Close()
+	return out.Len(), errors.WithStack(err)
 }
 
 // heap returns the bytes in use after a collection.
--- a/lab/slope/slope.go
+++ b/lab/slope/slope.go
@@ -29,10 +29,10 @@
 }
 
 // Figure is one measured figure at one size.
-type Figure struct {
-	Name  string  `json:"name"`
-	Unit  string  `json:"unit"`
-	Value float64 `json:"value"`
+type Figure = experiment.Figure
+
+func figureOf(name, unit string, value float64) Figure {
+	return Figure{Name: name, Unit: unit, Value: value}
 }
 
 // Point is all figures at one size.
--- a/lab/slope/upstreams.go
+++ b/lab/slope/upstreams.go
@@ -96,11 +96,11 @@
 	}
 	seconds := c.Duration.Seconds()
 	return []Figure{
-		{"messages", "a second", float64(a.messages.Load()-messages) / seconds},
-		{"bytes of control", "bytes a second", float64(a.traffic.in.Load()-in+a.traffic.out.Load()-out) / seconds},
-		{"processor", "% of a core", used.processor},
-		{"resident memory", "MB", used.memory},
-		{"bytes of a report with its question", "bytes", perMessage(a, messages, in, out)},
+		figureOf("messages", "a second", float64(a.messages.Load()-messages)/seconds),
+		figureOf("bytes of control", "bytes a second", float64(a.traffic.in.Load()-in+a.traffic.out.Load()-out)/seconds),
+		figureOf("processor", "% of a core", used.processor),
+		figureOf("resident memory", "MB", used.memory),
+		figureOf("bytes of a report with its question", "bytes", perMessage(a, messages, in, out)),
 	}, nil
 }
 
