Account for each organisation and explain a request

Cause: what an organisation asked for, got and was refused could be seen only as two counters whose label was the organisation's name, which is 76,000 series per entry at 38,000 organisations; a single request could not be explained at all. Change: pkg/accounting counts requests, tokens and refusals by reason for each organisation, sparsely and up to 50,000; metrics carry organisations with priority and the first 100 others, the rest as (other). pkg/decisionlog is a ring per process. GET /operator/v1/accounting sums over the entries and names those that gave no answer; GET /operator/v1/decisions/ID merges what entries and agents decided. acaciaglade status and explain show both. Candidates for a subset are now chosen outside the fleet's lock. Ruled out: top organisations by use as labels, which makes counters fall when the set changes; writing accounts to the platform's store, which costs writes. Conclusion: accounts last as long as the process; keeping them is Prometheus's part.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/admission"
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/claim"
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -56,6 +57,7 @@
 	upstream    *upstreamClient
 	claims      *claim.Book
 	metrics     *agentMetrics
+	decisions   *decisionlog.Log
 	log         logger
 
 	mu   sync.Mutex
@@ -74,6 +76,7 @@
 		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
 		claims:      claim.NewBook(store),
 		metrics:     newAgentMetrics(reg),
+		decisions:   decisionlog.New(cfg.Upstream, maxDecisions),
 		log:         logging.For("agent"),
 		gate: admission.New(admission.Config{
 			Upstream:      cfg.Upstream,
--- a/pkg/agent/http.go
+++ b/pkg/agent/http.go
@@ -20,6 +20,7 @@
 	g.DELETE(peer.PathAttempts+"/:id", a.handleCancel)
 	g.POST(peer.PathWithdraw, a.handleWithdraw)
 	g.POST(peer.PathReport, a.handleReport)
+	a.registerDecisions(g)
 }
 
 func (a *Agent) handleAttempt(c echo.Context) error {
@@ -28,6 +29,7 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	d, r := a.admit(&req, time.Now())
+	a.recordAdmission(&req, &d, r != nil)
 	w := newFrameWriter(c)
 	if r == nil {
 		return w.write(a.refusalFrame(req.RequestID, d.Outcome, d.Refusal))
@@ -68,6 +70,7 @@
 	a.mu.Lock()
 	outcome := a.gate.Withdraw(&req, time.Now())
 	a.mu.Unlock()
+	a.recordWithdrawal(req.RequestID, outcome)
 	return c.JSON(http.StatusOK, api.WithdrawReply{Outcome: outcome})
 }
 
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -48,7 +48,8 @@
 	must(table.AddCommand("apply", "Replace the table", "Replaces the organisations from a CSV file, or the whole table from a JSON file.", &tableApplyCommand{}))
 	must(parser.AddCommand("domain", "Take a failure domain out or in", "Marks a failure domain out of service or in.", &domainCommand{}))
 	must(parser.AddCommand("upstream", "Take an upstream out or in", "Marks an upstream out of service or in.", &upstreamCommand{}))
-	must(parser.AddCommand("status", "Show the fleet", "Shows what an entry knows of the fleet.", &statusCommand{}))
+	must(parser.AddCommand("status", "Show the fleet", "Shows what an entry knows of the fleet, and what organisations asked for and got.", &statusCommand{}))
+	must(parser.AddCommand("explain", "Explain a request", "Shows what was decided about a request, where and why.", &explainCommand{}))
 }
 
 // must panics on a command that is defined wrongly.
--- a/pkg/cli/operator.go
+++ b/pkg/cli/operator.go
@@ -184,6 +184,7 @@
 
 type statusCommand struct {
 	connection
+	Organisation string `long:"organisation" description:"Show the account of one organisation."`
 }
 
 // Execute implements flags.Commander.
@@ -202,5 +203,8 @@
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%t\t%t\t%s\t%d\t%s\n", u.Upstream, u.Service, u.FailureDomain,
 			u.Running, u.Limit, u.Ready, u.Leaving, markName(u.Out), u.MarksVersion, strconv.FormatInt(u.ReportAgeMillis, 10)+"ms")
 	}
-	return errors.WithStack(tw.Flush())
+	if err := tw.Flush(); err != nil {
+		return errors.WithStack(err)
+	}
+	return c.showAccounts(os.Stdout, c.Organisation)
 }
--- /dev/null
+++ b/pkg/entry/accounts.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/accounting"
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/operator"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+)
+
+// Bounds of what an entry keeps.
+const (
+	// maxAccounts is the number of organisations with accounts of their own.
+	maxAccounts = 50000
+	// maxLabels is the number of organisations without priority that have
+	// metrics of their own.
+	maxLabels = 100
+	// maxDecisions is the number of decisions that are kept.
+	maxDecisions = 20000
+)
+
+// askTimeout bounds the questions to other hosts.
+const askTimeout = 2 * time.Second
+
+// maxAsked is how many other hosts are asked at once.
+const maxAsked = 16
+
+// accounts counts requests and remembers decisions about them.
+type accounts struct {
+	name      string
+	requests  *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	tokens    *prometheus.CounterVec
+	decisions *decisionlog.Log
+	peers     *peer.AgentClient
+	hosts     func() []hosts.Host
+
+	mu       sync.Mutex
+	accounts *accounting.Accounts
+	labels   *accounting.Labels
+}
+
+func newAccounts(name string, peers *peer.AgentClient, list func() []hosts.Host, reg prometheus.Registerer) *accounts {
+	a := &accounts{
+		name:      name,
+		peers:     peers,
+		hosts:     list,
+		decisions: decisionlog.New(name, maxDecisions),
+		accounts:  accounting.New(maxAccounts),
+		labels:    accounting.NewLabels(maxLabels),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaglade_requests_total",
+			Help: "Requests of callers, by organisation and result. Beyond a number of organisations they are counted as (other).",
+		}, []string{"organisation", "result"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaglade_refusals_total",
+			Help: "Requests that were refused, by reason and whether they ran.",
+		}, []string{"reason", "ran"}),
+		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "acaciaglade_tokens_total",
+			Help: "Tokens asked for and got, by organisation. Beyond a number of organisations they are counted as (other).",
+		}, []string{"organisation", "kind"}),
+	}
+	reg.MustRegister(a.requests, a.refusals, a.tokens)
+	return a
+}
+
+// Results of requests, as labels of metrics.
+const (
+	resultComplete = "complete"
+	resultRefused  = "refused"
+)
+
+// ended counts a request that has ended. The refusal is nil when the whole
+// answer was delivered.
+func (a *accounts) ended(r *pipe.Request, refusal *problem.Problem) {
+	organisation, priority := "", false
+	if r.Organisation != nil {
+		organisation, priority = r.Organisation.Name, r.Organisation.Priority
+	}
+	a.mu.Lock()
+	a.accounts.Count(accounting.Request{Organisation: organisation, AskedCost: r.Cost, GotCost: r.Spent, Refusal: refusal})
+	label := a.labels.Of(organisation, priority)
+	a.mu.Unlock()
+	a.tokens.WithLabelValues(label, "asked").Add(r.Cost)
+	a.tokens.WithLabelValues(label, "got").Add(r.Spent)
+	if refusal == nil {
+		a.requests.WithLabelValues(label, resultComplete).Inc()
+		r.Decide(resultComplete, "", "")
+		return
+	}
+	a.requests.WithLabelValues(label, resultRefused).Inc()
+	a.refusals.WithLabelValues(string(refusal.Reason), string(refusal.Ran)).Inc()
+	r.Decide(resultRefused+", ran: "+string(refusal.Ran), string(refusal.Reason), "")
+}
+
+func (a *accounts) own(q accounting.Query) []accounting.Account {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.accounts.Select(q)
+}
+
+// Accounts implements operator.Accounts.
+func (a *accounts) Accounts(ctx context.Context, q accounting.Query, fleet bool) operator.AccountsReport {
+	report := operator.AccountsReport{Entries: []string{a.name}, Accounts: a.own(q)}
+	if !fleet {
+		return report
+	}
+	parts := [][]accounting.Account{report.Accounts}
+	var mu sync.Mutex
+	report.Unreachable = a.ask(ctx, hosts.RoleEntry, func(ctx context.Context, h hosts.Host) error {
+		part, err := a.peers.Accounts(ctx, h.Address, q)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		parts = append(parts, part)
+		report.Entries = append(report.Entries, h.Name)
+		return nil
+	})
+	slices.Sort(report.Entries)
+	report.Accounts = accounting.Sum(q.Limit, parts...)
+	return report
+}
+
+// Decisions implements operator.Accounts. All hosts are asked, as a request may
+// have been sent through more than one.
+func (a *accounts) Decisions(ctx context.Context, requestID string) operator.DecisionsReport {
+	parts := [][]decisionlog.Decision{a.decisions.Of(requestID)}
+	var mu sync.Mutex
+	unreachable := a.ask(ctx, "", func(ctx context.Context, h hosts.Host) error {
+		part, err := a.peers.Decisions(ctx, h.Address, requestID)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		parts = append(parts, part)
+		return nil
+	})
+	return operator.DecisionsReport{RequestID: requestID, Unreachable: unreachable, Decisions: decisionlog.Merge(parts...)}
+}
+
+// ask calls fn for all other hosts of a role, some at a time, and returns the
+// names of those for which it failed. An empty role means all.
+func (a *accounts) ask(ctx context.Context, role hosts.Role, fn func(context.Context, hosts.Host) error) []string {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var failed []string
+	slots := make(chan struct{}, maxAsked)
+	for _, h := range a.hosts() {
+		if h.Name == a.name || role != "" && h.Role != role {
+			continue
+		}
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			if fn(ctx, h) == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			failed = append(failed, h.Name)
+		})
+	}
+	group.Wait()
+	slices.Sort(failed)
+	return failed
+}
+
+// registerPeer adds the routes that other entries call.
+func (a *accounts) registerPeer(g *echo.Group) {
+	g.GET(peer.PathAccounting, func(c echo.Context) error {
+		q, refusal := operator.ParseQuery(c)
+		if refusal != nil {
+			return operator.WriteProblem(c, refusal)
+		}
+		return c.JSON(http.StatusOK, a.own(q))
+	})
+	g.GET(peer.PathDecisions+"/:id", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, a.decisions.Of(c.Param("id")))
+	})
+}
+
+var _ operator.Accounts = (*accounts)(nil)
--- /dev/null
+++ b/pkg/entry/accounts_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http/httptest"
+	"slices"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/accounting"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+const testPeerToken = "test-peer-token-1"
+
+// Two entries add up, and one that can't be reached is named.
+func TestAccountsOverTheFleet(t *testing.T) {
+	var list []hosts.Host
+	known := func() []hosts.Host { return list }
+	newOne := func(name string) *accounts {
+		a := newAccounts(name, peer.NewAgentClient(testPeerToken), known, prometheus.NewRegistry())
+		e := echo.New()
+		a.registerPeer(e.Group("", peer.RequireToken(testPeerToken)))
+		s := httptest.NewServer(e)
+		t.Cleanup(s.Close)
+		list = append(list, hosts.Host{Name: name, Role: hosts.RoleEntry, Address: s.URL})
+		return a
+	}
+	one, two := newOne("one"), newOne("two")
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	list = append(list, hosts.Host{Name: "gone", Role: hosts.RoleEntry, Address: gone.URL})
+	request := func(a *accounts) *pipe.Request {
+		return &pipe.Request{ID: "id", Organisation: &table.Organisation{Name: "o"}, Cost: 10, Spent: 4, Decisions: a.decisions}
+	}
+	one.ended(request(one), nil)
+	two.ended(request(two), problem.New(problem.ReasonCeiling, ""))
+
+	report := one.Accounts(t.Context(), accounting.Query{}, true)
+	if !slices.Equal(report.Entries, []string{"one", "two"}) || !slices.Equal(report.Unreachable, []string{"gone"}) {
+		t.Errorf("entries %v, unreachable %v", report.Entries, report.Unreachable)
+	}
+	if len(report.Accounts) != 1 || report.Accounts[0].Asked != 2 || report.Accounts[0].Refused != 1 || report.Accounts[0].GotCost != 8 {
+		t.Errorf("accounts %+v", report.Accounts)
+	}
+	decisions := one.Decisions(t.Context(), "id")
+	if len(decisions.Decisions) != 2 || decisions.Decisions[1].Why != string(problem.ReasonCeiling) || decisions.Decisions[1].Where != "two" {
+		t.Errorf("decisions %+v", decisions)
+	}
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -59,8 +59,7 @@
 	chain    pipe.Handler
 	api      *operator.API
 	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	refusals *prometheus.CounterVec
+	accounts *accounts
 	stopping atomic.Bool
 	log      *logrus.Entry
 }
@@ -72,19 +71,11 @@
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
-		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f),
+		accounts: newAccounts(cfg.Name, agents, f.KnownHosts, reg),
 		registry: reg,
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_requests_total",
-			Help: "Requests of callers, by organisation and result.",
-		}, []string{"organisation", "result"}),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_refusals_total",
-			Help: "Requests that were refused, by reason and whether they ran.",
-		}, []string{"reason", "ran"}),
-		log: logging.For("entry"),
+		log:      logging.For("entry"),
 	}
-	reg.MustRegister(e.requests, e.refusals)
+	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
 	e.chain = ceiling.New(e.chain, cfg.Ceiling)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
@@ -103,6 +94,7 @@
 	s.GET("/readyz", e.ready)
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
 	s.GET(peer.PathTable, e.peerTable, peer.RequireToken(e.cfg.PeerToken))
+	e.accounts.registerPeer(s.Group("", peer.RequireToken(e.cfg.PeerToken)))
 	e.api.Register(s)
 	s.POST(route.PathChat, e.chat)
 	s.Any(route.PrefixServices+"*", e.plain)
@@ -127,23 +119,18 @@
 // serve runs a request through the filters and answers refusals.
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
-	r.Reply = reply
+	r.Reply, r.Decisions = reply, e.accounts.decisions
 	err := e.receive(c, r)
 	if err == nil {
 		err = e.chain.Serve(c.Request().Context(), r)
 	}
-	organisation := ""
-	if r.Organisation != nil {
-		organisation = r.Organisation.Name
-	}
 	if err == nil {
-		e.requests.WithLabelValues(organisation, "complete").Inc()
+		e.accounts.ended(r, nil)
 		return nil
 	}
-	e.requests.WithLabelValues(organisation, "refused").Inc()
 	p := asProblem(err)
 	p.RequestID = r.ID
-	e.refusals.WithLabelValues(string(p.Reason), string(p.Ran)).Inc()
+	e.accounts.ended(r, p)
 	return reply.Refuse(p)
 }
 
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -83,6 +83,7 @@
 		if err != nil {
 			return j.queueRefusal(err)
 		}
+		r.Decide("send an attempt", "the upstream has room", upstream.Report.Upstream)
 		action, err := j.attempt(ctx, upstream)
 		if action != retry.Again {
 			return err
@@ -124,7 +125,9 @@
 			j.abandon(u)
 			return retry.Done, err
 		}
-		switch action := j.next(&j.state, event); action {
+		action := j.next(&j.state, event)
+		j.request.Decide(action.String(), event.String(), u.Report.Upstream)
+		switch action {
 		case retry.Ask:
 			event = j.ask(u)
 		case retry.Resume:
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -58,6 +58,7 @@
 	pollers   map[string]context.CancelFunc
 	entries   int
 	index     *table.Index
+	known     []hosts.Host
 	choice    choice
 }
 
--- a/pkg/fleet/poll.go
+++ b/pkg/fleet/poll.go
@@ -15,11 +15,12 @@
 		f.log.WithError(err).Warn("host list not read")
 		return
 	}
+	taken := f.taken(list)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entries := 0
 	current := make(map[string]bool, len(list))
-	for _, h := range f.taken(list) {
+	for _, h := range taken {
 		if h.Role == hosts.RoleEntry {
 			entries++
 			continue
--- a/pkg/fleet/subset.go
+++ b/pkg/fleet/subset.go
@@ -16,6 +16,9 @@
 // taken returns the entries of a host list and the upstreams that this entry
 // takes. It is called by one goroutine.
 func (f *Fleet) taken(list []hosts.Host) []hosts.Host {
+	f.mu.Lock()
+	f.known = list
+	f.mu.Unlock()
 	if f.cfg.SubsetSize == 0 {
 		return list
 	}
@@ -33,6 +36,13 @@
 	return out
 }
 
+// KnownHosts returns the hosts of the list that was read last, taken or not.
+func (f *Fleet) KnownHosts() []hosts.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
 func (f *Fleet) choose(list []hosts.Host) map[string]bool {
 	var entries []string
 	var upstreams []subset.Upstream
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -31,6 +31,8 @@
 	Token string
 	// Entry is the name of this entry.
 	Entry string
+	// Accounts is what this entry counted.
+	Accounts Accounts
 }
 
 // API is the operators' API.
@@ -53,6 +55,7 @@
 	g.PUT("/failure-domains/:name/:mark", a.markFailureDomain)
 	g.PUT("/upstreams/:name/:mark", a.markUpstream)
 	g.GET("/status", a.status)
+	a.registerAccounts(g)
 }
 
 func (a *API) authorise(next echo.HandlerFunc) echo.HandlerFunc {
--- /dev/null
+++ b/pkg/peer/accounts_client.go
@@ -0,0 +1,37 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/acaciaglade/acaciaglade/pkg/accounting"
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
+)
+
+// Paths of accounts and decisions.
+const (
+	PathAccounting = "/v1/accounting"
+	PathDecisions  = "/v1/decisions"
+)
+
+// Accounts reads the accounts of another entry.
+func (c *AgentClient) Accounts(ctx context.Context, address string, q accounting.Query) ([]accounting.Account, error) {
+	values := url.Values{"organisation": {q.Organisation}, "limit": {strconv.Itoa(q.Limit)}}
+	var accounts []accounting.Account
+	err := c.read(ctx, address+PathAccounting+"?"+values.Encode(), &accounts)
+	return accounts, err
+}
+
+// Decisions reads what another host decided about a request.
+func (c *AgentClient) Decisions(ctx context.Context, address, requestID string) ([]decisionlog.Decision, error) {
+	var decisions []decisionlog.Decision
+	err := c.read(ctx, address+PathDecisions+"/"+url.PathEscape(requestID), &decisions)
+	return decisions, err
+}
+
+// read reads one JSON answer.
+func (c *AgentClient) read(ctx context.Context, target string, out any) error {
+	return c.exchange(ctx, c.stream, http.MethodGet, target, nil, out)
+}
--- a/pkg/peer/agent_client.go
+++ b/pkg/peer/agent_client.go
@@ -86,7 +86,11 @@
 }
 
 func (c *AgentClient) call(ctx context.Context, client *http.Client, target string, in, out any) error {
-	body, err := c.open(ctx, client, http.MethodPost, target, in)
+	return c.exchange(ctx, client, http.MethodPost, target, in, out)
+}
+
+func (c *AgentClient) exchange(ctx context.Context, client *http.Client, method, target string, in, out any) error {
+	body, err := c.open(ctx, client, method, target, in)
 	if err != nil {
 		return err
 	}
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -49,6 +50,17 @@
 	Spent float64
 	// Reply takes the answer.
 	Reply Reply
+	// Decisions takes the decisions about the request. It may be nil.
+	Decisions *decisionlog.Log
+}
+
+// Decide records a decision about the request. The reason and the upstream may
+// be empty.
+func (r *Request) Decide(what, why, upstream string) {
+	if r.Decisions == nil {
+		return
+	}
+	r.Decisions.Add(decisionlog.Decision{RequestID: r.ID, At: time.Now(), What: what, Why: why, Upstream: upstream})
 }
 
 // Reply takes the parts of an answer in order.
