Add the planner of expert maps and its measures in virtual time

Cause: popularity drifts and ranks become stragglers, so a fixed map makes the slowest rank of a step take 7 times a perfect split (Zipf 1.0). Change: popularity (longest half-life that shorter ones don't contradict), speed, plan (moves and fresh placement, cost, hysteresis, budget), and `lab maps` with plots and the goals of the issue as tests.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaglade/acaciaglade/lab/demo"
 	"github.com/acaciaglade/acaciaglade/lab/engine"
 	"github.com/acaciaglade/acaciaglade/lab/hostlist"
+	"github.com/acaciaglade/acaciaglade/lab/maps"
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
@@ -87,6 +88,7 @@
 		{"orders", "Run a stand-in of an order-handling service", &ordersCommand{}},
 		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
+		{"maps", "Measure policies of expert maps in virtual time", &maps.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
--- /dev/null
+++ b/pkg/expertmap/popularity/popularity_test.go
@@ -0,0 +1,43 @@
+package popularity
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+)
+
+// TestLongestHalfLifeWithoutDrift shows that noise is averaged out while the
+// popularity stays, and that a sudden shift is followed at once.
+func TestLongestHalfLifeWithoutDrift(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	tracker := NewTracker(DefaultConfig(), expertmap.Size{Layers: 1, Experts: 4})
+	now := time.Unix(1000, 0)
+	observe := func(shares []float64, seconds int) {
+		for range seconds {
+			now = now.Add(time.Second)
+			picks := make([]float64, len(shares))
+			for e, s := range shares {
+				picks[e] = math.Round(1000*s + math.Sqrt(1000*s)*rng.NormFloat64())
+			}
+			tracker.Observe([][]float64{picks}, now)
+		}
+	}
+	observe([]float64{0.4, 0.3, 0.2, 0.1}, 600)
+	if e := tracker.Estimate(0); e.Picks < 300_000 || math.Abs(e.Shares[0]-0.4) > 0.005 {
+		t.Errorf("steady: %.0f picks, shares %.3f", e.Picks, e.Shares)
+	}
+	observe([]float64{0.1, 0.2, 0.3, 0.4}, 20)
+	if e := tracker.Estimate(0); math.Abs(e.Shares[0]-0.1) > 0.05 {
+		t.Errorf("20 s after a shift: %.0f picks, shares %.3f", e.Picks, e.Shares)
+	}
+}
+
+func TestEstimateWithoutPicksIsEven(t *testing.T) {
+	e := NewTracker(DefaultConfig(), expertmap.Size{Layers: 1, Experts: 2}).Estimate(0)
+	if e.Picks != 0 || e.Shares[0] != 0.5 {
+		t.Errorf("%+v", e)
+	}
+}
