Add the shell that drives the switch between agents

Cause: the switch and the planner are pure and need a transport, a clock and a rank to give orders to. Ruled out: gRPC or a stream between agents (HTTP with JSON fits, and lost or crossed messages are what the switch is proved against). Measured: nothing yet; it is built and vetted, and not wired to the agent.

--- /dev/null
+++ b/pkg/group/leave.go
@@ -0,0 +1,54 @@
+package group
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+)
+
+// front is the rank whose agent admits the group's work.
+const front = 0
+
+// leaveInterval is the time between two questions whether the group is drained.
+const leaveInterval = 100 * time.Millisecond
+
+// Leave asks the group's front agent to take no new work, and waits until the
+// group has none left or ctx ends. The front agent itself has nothing to ask.
+func (g *Group) Leave(ctx context.Context) error {
+	if g.cfg.Rank == front {
+		return nil
+	}
+	request := &LeaveRequest{Rank: g.cfg.Rank, Incarnation: g.incarnation}
+	for {
+		var reply LeaveReply
+		err := g.client.post(ctx, g.cfg.Members[front]+PathLeave, request, &reply)
+		if err == nil && reply.Drained {
+			g.log.Info("the group is drained")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(leaveInterval):
+		}
+	}
+}
+
+// handleLeave closes the group until the rank is heard in a new incarnation.
+func (g *Group) handleLeave(c echo.Context) error {
+	var request LeaveRequest
+	if err := decode(c.Request().Body, &request); err != nil || request.Rank < 0 || request.Rank >= len(g.cfg.Members) {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	g.mu.Lock()
+	_, known := g.leaving[request.Rank]
+	g.leaving[request.Rank] = request.Incarnation
+	g.mu.Unlock()
+	if !known {
+		g.log.WithField("rank", request.Rank).Info("a rank leaves; the group takes no new work")
+	}
+	g.closed()
+	return c.JSON(http.StatusOK, LeaveReply{Drained: g.running() == 0})
+}
