--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/acaciaglade/acaciaglade/lab/demo"
 	"github.com/acaciaglade/acaciaglade/lab/engine"
+	"github.com/acaciaglade/acaciaglade/lab/experiment"
 	"github.com/acaciaglade/acaciaglade/lab/hostlist"
 	"github.com/acaciaglade/acaciaglade/lab/maps"
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
@@ -90,6 +91,7 @@
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
 		{"maps", "Measure policies of expert maps in virtual time", &maps.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
+		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
 			panic(err)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -22,12 +22,19 @@
 
 // Config is the settings of a fleet view.
 type Config struct {
+	// Entry is the name of this entry.
+	Entry string
+	// SubsetSize is how many upstreams this entry takes; 0 means all.
+	SubsetSize int
 	// ReportInterval is the time between two reports of an agent.
 	ReportInterval time.Duration
 	// HostsInterval is the time between two reads of the host list.
 	HostsInterval time.Duration
 	// MaxReportAge is the age beyond which a report is not used.
 	MaxReportAge time.Duration
+	// MergeProvisional takes the marks of a report that are not yet in the
+	// table.
+	MergeProvisional func([]api.ProvisionalOut)
 	// Seed seeds the choice of upstreams.
 	Seed uint64
 	// Scheduler is the settings of the scheduler.
@@ -53,7 +60,9 @@
 	addresses map[string]string
 	pollers   map[string]context.CancelFunc
 	entries   int
+	hosts     []hosts.Host
 	index     *table.Index
+	choice    choice
 }
 
 // New returns a fleet view. Run must be called for it to see upstreams.
@@ -179,77 +188,3 @@
 		delete(f.waiting, g.ID)
 	}
 }
-
-// readHosts starts and stops the pollers of agents to match the host list.
-func (f *Fleet) readHosts(ctx context.Context) {
-	list, err := f.list.List(ctx)
-	if err != nil {
-		f.log.WithError(err).Warn("host list not read")
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	entries := 0
-	current := make(map[string]bool, len(list))
-	for _, h := range list {
-		if h.Role == hosts.RoleEntry {
-			entries++
-			continue
-		}
-		current[h.Name] = true
-		f.addresses[h.Name] = h.Address
-		f.startPoller(ctx, h.Name)
-	}
-	f.entries = max(1, entries)
-	for name, stop := range f.pollers {
-		if !current[name] {
-			stop()
-			delete(f.pollers, name)
-		}
-	}
-}
-
-func (f *Fleet) startPoller(ctx context.Context, name string) {
-	if _, ok := f.pollers[name]; ok {
-		return
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	f.pollers[name] = cancel
-	go f.poll(ctx, name)
-}
-
-// poll reads an agent's reports and brings it newer marks until ctx ends.
-func (f *Fleet) poll(ctx context.Context, name string) {
-	ticker := time.NewTicker(f.cfg.ReportInterval)
-	defer ticker.Stop()
-	var known uint64
-	for {
-		known = f.pollOnce(ctx, name, known)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// pollOnce returns the version of the marks that the agent has in force.
-func (f *Fleet) pollOnce(ctx context.Context, name string, known uint64) uint64 {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.ReportInterval)
-	defer cancel()
-	f.mu.Lock()
-	address, index := f.addresses[name], f.index
-	f.mu.Unlock()
-	req := &api.ReportRequest{}
-	if index != nil && index.Table().Version > known {
-		marks := index.Table().Marks()
-		req.Marks = &marks
-	}
-	report, err := f.agents.Report(ctx, address, req)
-	if err != nil {
-		f.log.WithError(err).WithField("upstream", name).Debug("no report")
-		return known
-	}
-	f.Report(report)
-	return report.MarksVersion
-}
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -21,17 +21,22 @@
 	Index *table.Index
 	// Organisation is set by the authenticate filter.
 	Organisation *table.Organisation
-	// Service is the service that is called.
+	// Service is set by the route filter.
 	Service *table.Service
-	// Method, Path, ContentType and Body are those of the upstream's call.
+	// Method, Path, Query, ContentType and Body are those of the caller's call
+	// until the route filter makes them those of the upstream's.
 	Method      string
 	Path        string
+	Query       string
 	ContentType string
 	Body        []byte
 	// IdempotencyKey is the caller's key, empty when none was given.
 	IdempotencyKey string
 	// Idempotent is true when the work may be repeated.
 	Idempotent bool
+	// Streamed is true when a model's answer is to be written as it comes. It is
+	// set by the route filter.
+	Streamed bool
 	// Received is when the request arrived.
 	Received time.Time
 	// Timeout is the caller's time limit, 0 when none was given.
@@ -55,6 +60,11 @@
 	Data(part []byte) error
 	// End is called once the whole answer was taken and verified.
 	End() error
+	// Relayed reports whether a part of the answer has reached the caller.
+	Relayed() bool
+	// Restart discards the parts that were taken, as the answer begins anew. It
+	// must not be called once a part has reached the caller.
+	Restart()
 }
 
 // Handler serves a request. A returned error is usually a *problem.Problem.
