--- a/lab/deploy/domain.go
+++ b/lab/deploy/domain.go
@@ -57,24 +57,13 @@
 // addresses that they had.
 func (d *Deployment) RestartDomain(domain string) error {
 	for _, p := range d.inDomain(domain) {
-		if err := d.startAgain(p); err != nil {
+		if err := d.Restart(p); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// startAgain starts a process that has ended again, at the address that it had.
-func (d *Deployment) startAgain(p *Process) error {
-	fresh, err := d.RunAt(p.Address, p.Name, p.Domain, p.program, p.args...)
-	if err != nil {
-		return err
-	}
-	d.processes = d.processes[:len(d.processes)-1]
-	*p = *fresh
-	return nil
-}
-
 func (d *Deployment) inDomain(domain string) []*Process {
 	var in []*Process
 	for _, p := range d.processes {
