--- a/lab/slope/slope.go
+++ b/lab/slope/slope.go
@@ -60,7 +60,7 @@
 }
 
 // all is every slope.
-var all = []Slope{organisations, upstreams, entries}
+var all = []Slope{organisations, upstreams, entries, hostList}
 
 // Command is the slope command.
 type Command struct {
