--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -27,7 +27,7 @@
 }
 
 // all is every experiment.
-var all = []Experiment{domainLeaves, proxyCost}
+var all = []Experiment{domainLeaves, storeOutage, upstreamLoss, priorityArrival, overload, proxyCost}
 
 // Command is the experiment command.
 type Command struct {
--- a/lab/experiment/result.go
+++ b/lab/experiment/result.go
@@ -165,7 +165,7 @@
 
 func countKinds(samples []load.Sample) []Counts {
 	var out []Counts
-	for _, kind := range []load.Kind{load.Chat, load.Draft, load.Status, load.Confirm} {
+	for _, kind := range []load.Kind{load.Chat, load.Counter, load.Draft, load.Status, load.Confirm} {
 		var in []load.Sample
 		for _, s := range samples {
 			if s.Kind == kind {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -18,6 +18,9 @@
 const (
 	// Chat is a streamed chat completion.
 	Chat Kind = "chat"
+	// Counter is a streamed chat completion for a buyer at the counter, counted
+	// apart from Chat.
+	Counter Kind = "counter"
 	// Draft is a chat completion whose answer comes in one piece.
 	Draft Kind = "draft"
 	// Status is an idempotent call of a plain service.
--- a/lab/load/send.go
+++ b/lab/load/send.go
@@ -51,7 +51,7 @@
 	default:
 		return http.MethodPost, "/v1/chat/completions", fmt.Sprintf(
 			`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"one two three"}]}`,
-			c.Model, c.Kind == Chat, c.Tokens)
+			c.Model, c.Kind != Draft, c.Tokens)
 	}
 }
 
@@ -87,7 +87,7 @@
 		return answer{refusal: &p}, errors.WithStack(json.NewDecoder(resp.Body).Decode(&p))
 	}
 	switch s.cfg.Kind {
-	case Chat:
+	case Chat, Counter:
 		return readEvents(resp.Body, begin, s.cfg.Tokens)
 	case Draft:
 		return readDraft(resp.Body, s.cfg.Tokens)
--- a/lab/slope/process.go
+++ b/lab/slope/process.go
@@ -28,6 +28,7 @@
 		}
 		c.Bin = folder
 	}
+	shape.EntryArgs = c.EntryArg
 	shape.FailureDomains = []string{"fd-a"}
 	shape.Table = table.Table{
 		FailureDomains: []table.FailureDomain{{Name: "fd-a"}},
--- a/lab/slope/slope.go
+++ b/lab/slope/slope.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -68,6 +69,8 @@
 	Bin      string        `long:"bin" description:"Folder of built programs. Empty: they are built first."`
 	Duration time.Duration `long:"duration" default:"4s" description:"Time for which each size is measured."`
 	List     bool          `long:"list" description:"List the slopes."`
+	EntryArg []string      `long:"entry-arg" description:"Setting that is added to the entries, such as --subset-size=18."`
+	Label    string        `long:"label" description:"Added to the names of the results."`
 	Args     struct {
 		Name string `positional-arg-name:"NAME" description:"Name of the slope."`
 	} `positional-args:"yes"`
@@ -89,7 +92,7 @@
 }
 
 func (c *Command) run(ctx context.Context, s *Slope) error {
-	r := &Result{Slope: s.Name, Command: "lab slope " + s.Name, Unit: s.Unit}
+	r := &Result{Slope: s.Name, Command: c.text(s), Unit: s.Unit}
 	for _, n := range s.sizes {
 		fmt.Fprintf(os.Stderr, "%s: %d %s\n", s.Name, n, s.Unit)
 		figures, err := s.measure(ctx, c, n)
@@ -103,11 +106,20 @@
 	return c.write(r)
 }
 
+// text returns the command that makes the run again.
+func (c *Command) text(s *Slope) string {
+	parts := []string{"lab slope", s.Name, "--duration", c.Duration.String()}
+	for _, arg := range c.EntryArg {
+		parts = append(parts, "--entry-arg="+arg)
+	}
+	return strings.Join(parts, " ")
+}
+
 func (c *Command) write(r *Result) error {
 	if err := os.MkdirAll(c.Out, 0o755); err != nil {
 		return errors.WithStack(err)
 	}
-	base := filepath.Join(c.Out, "slope-"+r.Slope)
+	base := filepath.Join(c.Out, "slope-"+r.Slope+c.Label)
 	if err := experiment.WriteJSON(base+".json", r); err != nil {
 		return err
 	}
--- a/lab/slope/upstreams.go
+++ b/lab/slope/upstreams.go
@@ -71,6 +71,9 @@
 	return list
 }
 
+// firstMessages is how many messages are let pass before the measurement.
+const firstMessages = 48
+
 func measureUpstreams(ctx context.Context, c *Command, n int) ([]Figure, error) {
 	a, err := newAgents()
 	if err != nil {
@@ -86,7 +89,7 @@
 	if err := d.PublishHosts(ctx); err != nil {
 		return nil, err
 	}
-	if err := waitFor(ctx, func() bool { return a.messages.Load() >= int64(4*n) }); err != nil {
+	if err := waitFor(ctx, func() bool { return a.messages.Load() >= firstMessages }); err != nil {
 		return nil, err
 	}
 	messages, in, out := a.messages.Load(), a.traffic.in.Load(), a.traffic.out.Load()
