--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -14,8 +14,10 @@
 	"github.com/acaciaglade/acaciaglade/lab/engine"
 	"github.com/acaciaglade/acaciaglade/lab/experiment"
 	"github.com/acaciaglade/acaciaglade/lab/hostlist"
+	"github.com/acaciaglade/acaciaglade/lab/maps"
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
+	"github.com/acaciaglade/acaciaglade/lab/slope"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
 )
 
@@ -88,8 +90,10 @@
 		{"orders", "Run a stand-in of an order-handling service", &ordersCommand{}},
 		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
+		{"maps", "Measure policies of expert maps in virtual time", &maps.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
+		{"slope", "Measure how use grows with one size", &slope.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
 			panic(err)
--- a/lab/deploy/domain.go
+++ b/lab/deploy/domain.go
@@ -64,17 +64,6 @@
 	return nil
 }
 
-// Restart starts a process that has ended again, at the address that it had.
-func (d *Deployment) Restart(p *Process) error {
-	fresh, err := d.RunAt(p.Address, p.Name, p.Domain, p.program, p.args...)
-	if err != nil {
-		return err
-	}
-	d.processes = d.processes[:len(d.processes)-1]
-	*p = *fresh
-	return nil
-}
-
 func (d *Deployment) inDomain(domain string) []*Process {
 	var in []*Process
 	for _, p := range d.processes {
