--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -45,8 +45,10 @@
 	Table table.Table
 	// EngineArgs, AgentArgs and EntryArgs are added to the commands.
 	EngineArgs []string
-	AgentArgs  []string
-	EntryArgs  []string
+	// OrderArgs is added to the commands of order services.
+	OrderArgs []string
+	AgentArgs []string
+	EntryArgs []string
 }
 
 // Names of services in deployments.
@@ -157,7 +159,7 @@
 // addUpstream starts an upstream and its agent.
 func (d *Deployment) addUpstream(i int, service string, model bool) error {
 	name := fmt.Sprintf("%s-%d", service, i)
-	args := []string{"orders"}
+	args := append([]string{"orders"}, d.Shape.OrderArgs...)
 	if model {
 		args = append([]string{"engine"}, d.Shape.EngineArgs...)
 	}
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -27,7 +27,7 @@
 }
 
 // all is every experiment.
-var all = []Experiment{domainLeaves, storeOutage, upstreamLoss, priorityArrival, overload, proxyCost}
+var all = []Experiment{domainLeaves, storeOutage, upstreamLoss, priorityArrival, overload, proxyCost, atMostOnce}
 
 // Command is the experiment command.
 type Command struct {
--- a/lab/sessions/truth_answers_test.go
+++ b/lab/sessions/truth_answers_test.go
@@ -85,7 +85,7 @@
 	<-p.First()
 	agentLink(t, d).Silence()
 	half := fmt.Sprintf("word-%d ", chatTokens/2)
-	eventually(t, "half of the answer", func() bool { return strings.Contains(p.Text(), half) })
+	waitFor(t, "half of the answer", func() bool { return strings.Contains(p.Text(), half) })
 	agentLink(t, d).Silence()
 	_, body, err := p.Quiet()
 	r.Line("%s; error: %v", outline(body), err)
@@ -135,7 +135,7 @@
 	r.Note("%s is killed while it makes an answer in one piece", what)
 	p := r.Start(t.Context(), chatCall(d, false))
 	busy := -1
-	eventually(t, "an engine at work", func() bool {
+	waitFor(t, "an engine at work", func() bool {
 		for i, u := range d.Upstreams {
 			if running(t, u) > 0 {
 				busy = i
@@ -176,7 +176,7 @@
 	}
 	_, body, err := p.Quiet()
 	r.Line("%s; broke off: %t", outline(body), err != nil)
-	eventually(t, "engine idle", func() bool { return running(t, d.Upstreams[0]) == 0 })
+	waitFor(t, "engine idle", func() bool { return running(t, d.Upstreams[0]) == 0 })
 	r.Note("the engine stopped")
 	golden(t, r)
 }
@@ -190,7 +190,7 @@
 	<-p.First()
 	leave()
 	<-p.Done()
-	eventually(t, "engine idle", func() bool { return running(t, d.Upstreams[0]) == 0 })
+	waitFor(t, "engine idle", func() bool { return running(t, d.Upstreams[0]) == 0 })
 	r.Note("the engine stopped")
 	golden(t, r)
 }
--- a/lab/sessions/truth_notrun_test.go
+++ b/lab/sessions/truth_notrun_test.go
@@ -15,8 +15,8 @@
 	"github.com/acaciaglade/acaciaglade/lab/session"
 )
 
-// eventually waits until fn reports true.
-func eventually(t *testing.T, what string, fn func() bool) {
+// waitFor waits until fn reports true.
+func waitFor(t *testing.T, what string, fn func() bool) {
 	t.Helper()
 	deadline := time.After(20 * time.Second)
 	for !fn() {
@@ -78,13 +78,13 @@
 
 // untilRun waits until the order service has received n confirmations.
 func (v *visit) untilRun(n int) {
-	eventually(v.t, "confirmation at the order service", func() bool { return len(v.journal()) == n })
+	waitFor(v.t, "confirmation at the order service", func() bool { return len(v.journal()) == n })
 }
 
 // untilConfirmed repeats a confirmation until it is answered, and records the
 // last answer.
 func (v *visit) untilConfirmed(entry int, header ...string) {
-	eventually(v.t, "confirmed", func() bool {
+	waitFor(v.t, "confirmed", func() bool {
 		status, _, _ := (&session.Recorder{}).Start(v.t.Context(), v.confirmCall(entry, header...)).Quiet()
 		return status == http.StatusOK
 	})
@@ -94,7 +94,7 @@
 // untilServed waits until idempotent work is served.
 func (v *visit) untilServed() {
 	c := session.Call{Method: "GET", URL: v.d.Entries[0].URL() + "/services/orders/orders/1", Token: demo.Token("crateburst")}
-	eventually(v.t, "idempotent work served", func() bool {
+	waitFor(v.t, "idempotent work served", func() bool {
 		status, _, _ := (&session.Recorder{}).Start(v.t.Context(), c).Quiet()
 		return status == http.StatusOK
 	})
@@ -146,7 +146,7 @@
 	quiet(t, "GET", v.d.Objects.URL()+"/lab/counts", &before)
 	v.Note("the agent is paused between claim and dispatch, until after the deadline")
 	p := v.confirm(0, "Idempotency-Key", "order-1", "X-Deadline-Ms", "1500")
-	eventually(t, "claim at the object API", func() bool {
+	waitFor(t, "claim at the object API", func() bool {
 		var counts objectapi.Counts
 		quiet(t, "GET", v.d.Objects.URL()+"/lab/counts", &counts)
 		return counts.Writes > before.Writes
@@ -205,7 +205,7 @@
 		return all
 	}
 	first := v.confirm(0, "Idempotency-Key", "order-1")
-	eventually(t, "first confirmation", func() bool { return len(runs()) == 1 })
+	waitFor(t, "first confirmation", func() bool { return len(runs()) == 1 })
 	v.Note("the same key through the other entry")
 	v.confirm(1, "Idempotency-Key", "order-1").End()
 	for _, o := range v.d.Upstreams {
