--- a/pkg/agent/upstream.go
+++ b/pkg/agent/upstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -20,10 +21,15 @@
 const (
 	headerRequestID = "X-Request-Id"
 	headerPriority  = "X-Priority"
+	// headerDeadline lets an upstream refuse a call that comes too late.
+	headerDeadline = "X-Deadline-Unix-Ms"
 )
 
-// maxAnswerPart is the largest part of a plain answer in bytes.
-const maxAnswerPart = 32 << 10
+// Limits of an answer in bytes.
+const (
+	maxAnswerPart  = 32 << 10
+	maxAnswerBytes = 32 << 20
+)
 
 // loadReport is an upstream's own report of its load.
 type loadReport struct {
@@ -108,6 +114,7 @@
 	// Without GetBody the transport can't send the request a second time.
 	req.GetBody = nil
 	req.Header.Set(headerRequestID, a.RequestID)
+	req.Header.Set(headerDeadline, strconv.FormatInt(a.DeadlineUnixMilli, 10))
 	if a.ContentType != "" {
 		req.Header.Set("Content-Type", a.ContentType)
 	}
@@ -118,6 +125,7 @@
 	if err != nil {
 		return 0, "", err
 	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxAnswerBytes)
 	defer resp.Body.Close()
 	if a.Idempotent && slices.Contains(busyStatuses, resp.StatusCode) {
 		return 0, "", errors.Errorf("upstream answered %d; another upstream may take the request", resp.StatusCode)
--- /dev/null
+++ b/pkg/ledger/ledger_test.go
@@ -0,0 +1,52 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestRecordsEndWithTheirDeadline(t *testing.T) {
+	const clockError = 500 * time.Millisecond
+	now := time.UnixMilli(1_800_000_000_000)
+	l := New(clockError)
+	most := 0
+	for i := range 10_000 {
+		now = now.Add(time.Millisecond)
+		a := Attempt{RequestID: fmt.Sprint(i), Number: 1, Deadline: now.Add(time.Second)}
+		switch i % 3 {
+		case 0:
+			l.Admit(a, now)
+			l.Dispatch(a.RequestID, 1, now)
+			l.Finish(a.RequestID, 1, Answered)
+		case 1:
+			l.Reject(a, now)
+		default:
+			l.Withdraw(a, now)
+		}
+		most = max(most, l.Len())
+	}
+	// One record a millisecond, for the deadline, the clock error and a sweep.
+	if bound := int((time.Second + clockError + sweepInterval) / time.Millisecond); most > bound {
+		t.Errorf("%d records, more than %d", most, bound)
+	}
+}
+
+func TestLaterAttemptStartsAndEarlierCopiesDoNot(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	attempt := func(n int) Attempt {
+		return Attempt{RequestID: "r", Number: n, Deadline: now.Add(time.Second)}
+	}
+	l := New(time.Second)
+	l.Reject(attempt(1), now)
+	if l.State(attempt(1), false) != StateWithdrawn || l.State(attempt(2), false) != StateAbsent {
+		t.Fatal("a refused attempt may start again, or blocks the next one")
+	}
+	l.Admit(attempt(2), now)
+	if l.Withdraw(attempt(1), now) != StateLost || l.State(attempt(2), false) != StateAdmitted {
+		t.Fatal("a late question about an earlier attempt withdrew the current one")
+	}
+	if !l.Refuse("r", 1) || !l.Dispatch("r", 2, now) || l.Refuse("r", 2) {
+		t.Fatal("an earlier attempt ended the current one")
+	}
+}
