Say per host what is in force, and give operators a page and commands

Cause: status showed only this entry's version and each agent's; an operator could not see where a change was missing, a restarted agent admitted work before it had any marks, an upstream in again kept its old limit, and an entry closed its listener before a balancer could see that it left. Ruled out: keeping every host's version at every entry (a full mesh at 330 hosts); status asks the hosts when an operator asks for it. Before: TestGateAdmitsNothingBeforeItHasMarks and TestFailureDomainOutAndIn- Again failed (limit 16 at once); after: both pass, as does TestJudgeHosts.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -26,6 +26,9 @@
 	Incarnation string
 	// ClockError is the largest difference between two hosts' clocks.
 	ClockError time.Duration
+	// RequireMarks makes the gate admit nothing before it has marks, so that an
+	// agent that restarts in a failure domain that is out takes no work there.
+	RequireMarks bool
 	// Warmup is the settings of the limit.
 	Warmup warmup.Config
 }
@@ -105,7 +108,7 @@
 		return problem.ReasonFailureDomainOut, true
 	case g.marks.UpstreamOut(g.cfg.Upstream):
 		return problem.ReasonUpstreamOut, true
-	case !g.ready:
+	case !g.ready, g.cfg.RequireMarks && g.marks.Held().Version == 0:
 		return problem.ReasonNotReady, true
 	default:
 		return "", false
@@ -140,9 +143,20 @@
 }
 
 // SetMarks takes what is newer in marks and drops the rest. It reports whether the marks
-// were taken.
+// were taken. An upstream that is in service again starts at the lowest limit,
+// since it may have grown cold.
 func (g *Gate) SetMarks(m api.Marks) bool {
-	return g.marks.Merge(m)
+	before := g.out()
+	changed := g.marks.Merge(m)
+	if before && !g.out() {
+		g.limiter = warmup.New(g.cfg.Warmup)
+	}
+	return changed
+}
+
+// out reports whether the marks take the upstream out of service.
+func (g *Gate) out() bool {
+	return g.marks.FailureDomainOut(g.cfg.FailureDomain) || g.marks.UpstreamOut(g.cfg.Upstream)
 }
 
 // Leave closes the gate for good. Running attempts go on.
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -81,6 +81,7 @@
 			Service:       cfg.Service,
 			Incarnation:   incarnation,
 			ClockError:    cfg.ClockError,
+			RequireMarks:  true,
 			Warmup:        cfg.Warmup,
 		}),
 		runs: make(map[string]*run),
--- a/pkg/cli/operator.go
+++ b/pkg/cli/operator.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -207,12 +206,5 @@
 	if c.JSON {
 		return printJSON(s)
 	}
-	tw := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(tw, "entry %s, table version %d\n\n", s.Entry, s.TableVersion)
-	fmt.Fprintln(tw, "UPSTREAM\tSERVICE\tFAILURE DOMAIN\tRUNNING\tLIMIT\tREADY\tLEAVING\tMARK\tVERSION\tAGE")
-	for _, u := range s.Upstreams {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%t\t%t\t%s\t%d\t%s\n", u.Upstream, u.Service, u.FailureDomain,
-			u.Running, u.Limit, u.Ready, u.Leaving, markName(u.Out), u.MarksVersion, strconv.FormatInt(u.ReportAgeMillis, 10)+"ms")
-	}
-	return errors.WithStack(tw.Flush())
+	return printStatus(os.Stdout, s)
 }
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -43,10 +43,7 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run(background)
-	return server.Run(ctx, &c.Common, handler, func(context.Context) error {
-		e.Stop()
-		return nil
-	})
+	return server.Run(ctx, &c.Common, handler, e.Leave)
 }
 
 func newEntry(s *settings.Entry) *entry.Entry {
@@ -68,6 +65,7 @@
 		PeerToken:     s.PeerToken,
 		OperatorToken: s.OperatorToken,
 		MaxBodyBytes:  s.MaxBodyBytes,
+		LeaveDelay:    s.LeaveDelay,
 		Deadline:      deadline.Config{Default: s.DefaultDeadline, Max: s.MaxDeadline},
 		Ceiling:       ceiling.Config{Burst: s.CeilingBurst},
 		Attempt: attempt.Config{
--- /dev/null
+++ b/pkg/cli/status.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/operator"
+)
+
+// printStatus prints the status of the fleet as tables.
+func printStatus(w io.Writer, s *operator.Status) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "entry\t%s\n", s.Entry)
+	fmt.Fprintf(tw, "table\tversion %d here, %d is the newest\n", s.TableVersion, s.NewestVersion)
+	fmt.Fprintf(tw, "store\t%s\n", platformText(s.Platform))
+	for _, p := range s.Provisional {
+		fmt.Fprintf(tw, "not yet in the table\t%s out, taken by %s\n", p.FailureDomain+p.Upstream, p.Entry)
+	}
+	fmt.Fprintln(tw, "\nHOST\tROLE\tFAILURE DOMAIN\tREACHABLE\tVERSION\tIN FORCE\tAGE")
+	for _, h := range s.Hosts {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\n", h.Host, h.Role, h.FailureDomain, yesNo(h.Reachable), knowledgeText(h))
+	}
+	fmt.Fprintln(tw, "\nUPSTREAM\tSERVICE\tFAILURE DOMAIN\tRUNNING\tLIMIT\tREADY\tLEAVING\tMARK\tAGE")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\n", u.Upstream, u.Service, u.FailureDomain,
+			u.Running, u.Limit, yesNo(u.Ready), yesNo(u.Leaving), markName(u.Out), age(u.ReportAgeMillis))
+	}
+	return errors.WithStack(tw.Flush())
+}
+
+func platformText(p operator.PlatformStatus) string {
+	if p.Answers {
+		return "answers"
+	}
+	return "does not answer: " + p.Detail
+}
+
+// knowledgeText is what is known of a host, as the cells of a row.
+func knowledgeText(h operator.HostStatus) string {
+	if !h.Known {
+		return "unknown\tunknown\tnever heard"
+	}
+	inForce := yesNo(h.InForce)
+	if !h.Reachable {
+		inForce = "unknown"
+	}
+	return fmt.Sprintf("%d\t%s\t%s", h.Version, inForce, age(h.AgeMillis))
+}
+
+func age(millis int64) string { return (time.Duration(millis) * time.Millisecond).String() }
+
+func yesNo(ok bool) string {
+	if ok {
+		return "yes"
+	}
+	return "no"
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -45,6 +45,8 @@
 	OperatorToken string
 	// MaxBodyBytes is the largest body of a request.
 	MaxBodyBytes int64
+	// LeaveDelay is how long the entry stays reachable after it began to leave.
+	LeaveDelay time.Duration
 	// Deadline, Ceiling and Attempt are the settings of the filters.
 	Deadline deadline.Config
 	Ceiling  ceiling.Config
@@ -69,12 +71,13 @@
 // New builds the filters of an entry.
 func New(cfg Config, store *tablestore.Store, f *fleet.Fleet, agents *peer.AgentClient, reg *prometheus.Registry) *Entry {
 	cfg.Ceiling.Entries = f.Entries
+	entries := peer.NewEntryClient(cfg.PeerToken)
 	e := &Entry{
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
-		exchange: tablestore.NewExchange(store, peer.NewEntryClient(cfg.PeerToken), f.Hosts),
-		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f),
+		exchange: tablestore.NewExchange(store, entries, f.Hosts),
+		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f, entries, agents),
 		registry: reg,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "acaciaglade_requests_total",
@@ -95,8 +98,19 @@
 	return e
 }
 
-// Stop makes the entry refuse new requests. Running ones go on.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Leave makes the entry not ready and refuse new requests. It returns after the
+// leave delay, by which the balancer sends no more callers. Running requests go
+// on.
+func (e *Entry) Leave(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.log.Info("leaving; new callers are refused")
+	select {
+	case <-time.After(e.cfg.LeaveDelay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 // Register adds the entry's routes to an HTTP server.
 func (e *Entry) Register(s *echo.Echo) {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -41,6 +41,18 @@
 	return &accepted, c.call(ctx, http.MethodPut, "/table", t, &accepted)
 }
 
+// PatchOrganisation changes some columns of one row, or adds the row.
+func (c *Client) PatchOrganisation(ctx context.Context, name string, p *RowPatch) (*table.Table, error) {
+	var accepted table.Table
+	return &accepted, c.call(ctx, http.MethodPatch, "/organisations/"+url.PathEscape(name), p, &accepted)
+}
+
+// DeleteOrganisation removes one row.
+func (c *Client) DeleteOrganisation(ctx context.Context, name string) (*table.Table, error) {
+	var accepted table.Table
+	return &accepted, c.call(ctx, http.MethodDelete, "/organisations/"+url.PathEscape(name), nil, &accepted)
+}
+
 // MarkFailureDomain marks a failure domain "out" or "in".
 func (c *Client) MarkFailureDomain(ctx context.Context, name, mark string) (*MarkResult, error) {
 	var accepted MarkResult
--- a/pkg/operator/marks.go
+++ b/pkg/operator/marks.go
@@ -93,7 +93,7 @@
 	defer cancel()
 	accepted, err := a.store.TakeIn(ctx, in)
 	if err != nil {
-		return WriteProblem(c, changeProblem(err))
+		return refuseChange(c, err)
 	}
 	return c.JSON(http.StatusOK, MarkResult{Version: accepted.Version})
 }
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -8,11 +8,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
@@ -23,6 +25,7 @@
 // Fleet is what the operators see of an entry's upstreams.
 type Fleet interface {
 	Candidates(service string) []selection.Candidate
+	Hosts() []hosts.Host
 }
 
 // Config is the settings of the operators' API.
@@ -35,21 +38,29 @@
 
 // API is the operators' API.
 type API struct {
-	cfg   Config
-	store *tablestore.Store
-	fleet Fleet
+	cfg     Config
+	store   *tablestore.Store
+	fleet   Fleet
+	entries Entries
+	agents  Agents
+
+	mu    sync.Mutex
+	known map[string]knowledge
 }
 
 // New returns the operators' API.
-func New(cfg Config, store *tablestore.Store, fleet Fleet) *API {
-	return &API{cfg: cfg, store: store, fleet: fleet}
+func New(cfg Config, store *tablestore.Store, fleet Fleet, entries Entries, agents Agents) *API {
+	return &API{cfg: cfg, store: store, fleet: fleet, entries: entries, agents: agents, known: make(map[string]knowledge)}
 }
 
 // Register adds the API's routes to an HTTP server.
 func (a *API) Register(e *echo.Echo) {
+	registerPage(e)
 	g := e.Group("/operator/v1", a.authorise)
 	g.GET("/table", a.getTable)
 	g.PUT("/table", a.putTable)
+	g.PATCH("/organisations/:name", a.patchOrganisation)
+	g.DELETE("/organisations/:name", a.deleteOrganisation)
 	g.PUT("/failure-domains/:name/:mark", a.markFailureDomain)
 	g.PUT("/upstreams/:name/:mark", a.markUpstream)
 	g.GET("/status", a.status)
@@ -89,9 +100,7 @@
 		return WriteProblem(c, problem.New(problem.ReasonBadRequest, err.Error()))
 	}
 	if faults := table.Check(&t); faults != nil {
-		return c.JSON(http.StatusUnprocessableEntity, TableProblem{
-			Problem: problem.New(problem.ReasonInvalidTable, ""), Faults: faults,
-		})
+		return refuseChange(c, faults)
 	}
 	return a.change(c, func(d *tablestore.Draft) error {
 		if d.Version != t.Version {
@@ -117,11 +126,20 @@
 	defer cancel()
 	accepted, err := a.store.Change(ctx, edit)
 	if err != nil {
-		return WriteProblem(c, changeProblem(err))
+		return refuseChange(c, err)
 	}
 	return c.JSON(http.StatusOK, accepted)
 }
 
+// refuseChange answers a change that was not accepted.
+func refuseChange(c echo.Context, err error) error {
+	var faults table.Faults
+	if errors.As(err, &faults) {
+		return c.JSON(http.StatusUnprocessableEntity, TableProblem{Problem: problem.New(problem.ReasonInvalidTable, ""), Faults: faults})
+	}
+	return WriteProblem(c, changeProblem(err))
+}
+
 // changeProblem says what became of a change that was not accepted.
 func changeProblem(err error) *problem.Problem {
 	var p *problem.Problem
@@ -134,56 +152,3 @@
 		return problem.New(problem.ReasonChangeUnknown, err.Error())
 	}
 }
-
-// UpstreamStatus is what an entry knows of one upstream.
-type UpstreamStatus struct {
-	Upstream      string `json:"upstream"`
-	Service       string `json:"service"`
-	FailureDomain string `json:"failure_domain"`
-	Limit         int    `json:"limit"`
-	Running       int    `json:"running"`
-	Ready         bool   `json:"ready"`
-	Leaving       bool   `json:"leaving"`
-	Out           bool   `json:"out"`
-	MarksVersion  uint64 `json:"marks_version"`
-	// ReportAgeMillis is the age of the newest report in milliseconds.
-	ReportAgeMillis int64 `json:"report_age_millis"`
-}
-
-// Status is what an entry knows of the fleet.
-type Status struct {
-	Entry        string           `json:"entry"`
-	TableVersion uint64           `json:"table_version"`
-	Upstreams    []UpstreamStatus `json:"upstreams"`
-}
-
-func (a *API) status(c echo.Context) error {
-	s := Status{Entry: a.cfg.Entry, Upstreams: []UpstreamStatus{}}
-	ix := a.store.Index()
-	if ix == nil {
-		return c.JSON(http.StatusOK, s)
-	}
-	s.TableVersion = ix.Table().Version
-	now := time.Now()
-	for _, svc := range ix.Table().Services {
-		for _, candidate := range a.fleet.Candidates(svc.Name) {
-			s.Upstreams = append(s.Upstreams, upstreamStatus(&candidate, now))
-		}
-	}
-	return c.JSON(http.StatusOK, s)
-}
-
-func upstreamStatus(c *selection.Candidate, now time.Time) UpstreamStatus {
-	return UpstreamStatus{
-		Upstream:        c.Report.Upstream,
-		Service:         c.Report.Service,
-		FailureDomain:   c.Report.FailureDomain,
-		Limit:           c.Report.Limit,
-		Running:         c.Report.Running,
-		Ready:           c.Report.Ready,
-		Leaving:         c.Report.Leaving,
-		Out:             c.Out,
-		MarksVersion:    c.Report.MarksVersion,
-		ReportAgeMillis: now.Sub(c.ReceivedAt).Milliseconds(),
-	}
-}
--- a/pkg/tablestore/draft.go
+++ b/pkg/tablestore/draft.go
@@ -38,6 +38,14 @@
 	d.settled = d.settled[max(0, len(d.settled)-maxSettled):]
 }
 
+// Check returns every bad cell of the draft as table.Faults, or nil.
+func (d *Draft) Check() error {
+	if faults := table.Check(d.Table); faults != nil {
+		return faults
+	}
+	return nil
+}
+
 // write is a prepared change of the stored table.
 type write struct {
 	id      string
