--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -90,6 +90,7 @@
 		log: logging.For("entry"),
 	}
 	reg.MustRegister(e.requests, e.refusals)
+	store.RegisterMetrics(reg)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
 	e.chain = ceiling.New(e.chain, cfg.Ceiling)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
--- a/pkg/tablestore/provisional.go
+++ b/pkg/tablestore/provisional.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +28,12 @@
 // TakeOut brings a mark in force at this entry at once, without the platform's
 // store. Peers and agents learn it from here.
 func (s *Store) TakeOut(m api.ProvisionalOut) {
+	pending := func(held api.ProvisionalOut) bool {
+		return held.FailureDomain == m.FailureDomain && held.Upstream == m.Upstream
+	}
+	if slices.ContainsFunc(s.Marks().Provisional, pending) {
+		return
+	}
 	m.ID = uuid.NewString()
 	m.Entry = s.entry
 	s.MergeProvisional([]api.ProvisionalOut{m})
