--- /dev/null
+++ b/pkg/filter/attempt/relay_bench_test.go
@@ -0,0 +1,43 @@
+package attempt
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/stream"
+)
+
+// discardReply drops the answer.
+type discardReply struct{ heldReply }
+
+func (*discardReply) Data([]byte) error { return nil }
+
+// BenchmarkRelay is the cost of one token at the entry without the network.
+func BenchmarkRelay(b *testing.B) {
+	const tokens = 1000
+	event := []byte(`{"id":"9f1c2a40-0d57-4a55-8a61-5a1d3c1f7b10","object":"chat.completion.chunk","created":0,"model":"draft","choices":[{"index":0,"delta":{"content":"one-1 "},"finish_reason":null}]}`)
+	var answer bytes.Buffer
+	encoder := json.NewEncoder(&answer)
+	sum := stream.NewChecksum()
+	_ = encoder.Encode(api.Frame{Kind: api.FrameHead, RequestID: "r", Status: 200})
+	for i := range tokens {
+		sum.Add(event)
+		_ = encoder.Encode(api.Frame{Kind: api.FrameData, RequestID: "r", Seq: i + 1, Data: event})
+	}
+	_ = encoder.Encode(api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeComplete, Count: sum.Count(), Checksum: sum.Sum()})
+	f := &filter{cfg: Config{Silence: time.Minute}}
+	b.ReportAllocs()
+	for b.Loop() {
+		j := &job{filter: f, request: &pipe.Request{ID: "r", Reply: &discardReply{}}, verifier: stream.NewVerifier("r")}
+		timer := time.NewTimer(time.Minute)
+		if event, err := j.relay(bytes.NewReader(answer.Bytes()), timer); err != nil || event.String() != "the whole answer was relayed" {
+			b.Fatal(event, err)
+		}
+		timer.Stop()
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -62,7 +62,9 @@
 	entries   int
 	hosts     []hosts.Host
 	index     *table.Index
-	choice    choice
+	// services is what each upstream that has reported serves.
+	services map[string]string
+	choice   choice
 }
 
 // New returns a fleet view. Run must be called for it to see upstreams.
@@ -77,6 +79,7 @@
 		waiting:   make(map[string]chan scheduler.Grant),
 		addresses: make(map[string]string),
 		pollers:   make(map[string]context.CancelFunc),
+		services:  make(map[string]string),
 		entries:   1,
 	}
 }
@@ -152,6 +155,7 @@
 func (f *Fleet) Report(r api.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.services[r.Upstream] = r.Service
 	f.deliver(f.scheduler.Report(r, time.Now()))
 	if f.index != nil && f.index.Out(r.Upstream, r.FailureDomain) {
 		f.deliver(f.scheduler.SetOut(f.index.Out, time.Now()))
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -44,7 +44,7 @@
 	HostsInterval   time.Duration `long:"hosts-interval" env:"ACACIAGLADE_HOSTS_INTERVAL" default:"2s" description:"Time between two reads of the host list."`
 	ReportInterval  time.Duration `long:"report-interval" env:"ACACIAGLADE_REPORT_INTERVAL" default:"250ms" description:"Time between two reports of an agent."`
 	MaxReportAge    time.Duration `long:"max-report-age" env:"ACACIAGLADE_MAX_REPORT_AGE" default:"2s" description:"Age beyond which a report is not used to choose an upstream."`
-	SubsetSize      int           `long:"subset-size" env:"ACACIAGLADE_SUBSET_SIZE" default:"0" description:"Upstreams that this entry takes, from all failure domains alike. 0 takes all. All entries need the same value."`
+	SubsetSize      int           `long:"subset-size" env:"ACACIAGLADE_SUBSET_SIZE" default:"0" description:"Upstreams of each service that this entry takes, from all failure domains alike. 0 takes all. All entries need the same value."`
 	MaxBodyBytes    int64         `long:"max-body-bytes" env:"ACACIAGLADE_MAX_BODY_BYTES" default:"1048576" description:"Largest body of a request, in bytes."`
 	DefaultDeadline time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
 	MaxDeadline     time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
