Wait for a silent agent no longer than the caller's time allows

Cause: a frozen agent held idempotent requests for 2 s of silence and 1 s of asking, which is the whole deadline of 3 s of a chat at the counter, so that they ended as deadline_exceeded with nothing left for another upstream. Ruled out: shorter defaults for all work. Work that is not idempotent can't be run elsewhere, and giving up sooner would only turn more of it into an unknown outcome. Change: for idempotent work one wait takes at most a quarter of the time left, but no less than 750 ms of silence (heartbeats come each 500 ms).

--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -157,7 +157,7 @@
 	r := j.request
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	timer := time.AfterFunc(j.silence(), cancel)
 	defer timer.Stop()
 	body, err := j.agents.Attempt(ctx, u.Address, &api.AttemptRequest{
 		RequestID:         r.ID,
@@ -195,7 +195,7 @@
 func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	timer := time.AfterFunc(j.silence(), cancel)
 	defer timer.Stop()
 	body, err := j.agents.Resume(ctx, u.Address, j.request.ID, j.verifier.Next())
 	if err != nil {
@@ -215,7 +215,7 @@
 // ask asks the agent for the state of the request. A question that failed is
 // repeated a few times, as the connection may have broken for a moment only.
 func (j *job) ask(u fleet.Upstream) retry.EventKind {
-	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
 	defer cancel()
 	for try := 1; ; try++ {
 		outcome, err := j.agents.Withdraw(ctx, u.Address, &api.WithdrawRequest{
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -22,7 +22,7 @@
 		if err := decoder.Decode(&f); err != nil {
 			return retry.Silent, nil
 		}
-		silence.Reset(j.cfg.Silence)
+		silence.Reset(j.silence())
 		fresh, err := j.verifier.Accept(&f)
 		if err != nil {
 			return retry.Silent, nil
