Make attained service global and let requests wait beside busy upstreams

Cause: each entry kept its own fair queue, so an organisation that used two entries got two shares, and which entry's request took a free slot was chance.

Change: pkg/shares exchanges cumulative counters on the report exchange; each attempt carries its organisation's virtual time; agents keep a short line of admitted attempts ordered by it, which can still be withdrawn as "not run"; an entry sends a request to a line at most 150 ms before its turn. Retries give back the charge of the attempt that didn't run.

Over 1 s the bound needs a share of about 20 requests a second or more: a request can't be divided.

--- /dev/null
+++ b/lab/virtual/loop.go
@@ -0,0 +1,78 @@
+// Package virtual drives the decision packages in virtual time: entries with
+// their schedulers, agents with their admission gates, and model engines whose
+// step time depends on the batch and on how warm they are. Messages take time
+// and reports lag. All randomness comes from one seed, so a run repeats exactly.
+package virtual
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+// loop runs events in the order of their times.
+type loop struct {
+	now    time.Time
+	events eventHeap
+	order  uint64
+}
+
+// newLoop returns a loop that starts at a fixed time.
+func newLoop() *loop { return &loop{now: time.Unix(1_000_000, 0)} }
+
+// after schedules an event.
+func (l *loop) after(d time.Duration, run func()) {
+	l.order++
+	heap.Push(&l.events, event{at: l.now.Add(d), order: l.order, run: run})
+}
+
+// every schedules an event again and again, for the first time after d.
+func (l *loop) every(d, interval time.Duration, run func()) {
+	l.after(d, func() {
+		run()
+		l.every(interval, interval, run)
+	})
+}
+
+// runUntil runs all events before a time.
+func (l *loop) runUntil(end time.Time) {
+	for len(l.events) > 0 && l.events[0].at.Before(end) {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.run()
+	}
+	l.now = end
+}
+
+// eventHeap orders events by time, then by when they were scheduled.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].order < h[j].order
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+var _ heap.Interface = (*eventHeap)(nil)
--- /dev/null
+++ b/lab/virtual/shares_test.go
@@ -0,0 +1,24 @@
+package virtual
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSharesAcrossEntries saturates the fleet from all organisations, each with
+// most of its traffic at another entry.
+func TestSharesAcrossEntries(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		cfg := SharesConfig(seed)
+		r := Run(cfg)
+		long, who10 := r.ShareError(10*time.Second, 10*time.Second)
+		short, who1 := r.ShareError(time.Second, 10*time.Second)
+		t.Logf("seed %d: 10 s %.1f%% (%s), 1 s %.1f%% (%s), goodput %.0f, %.0f B/s", seed, 100*long, who10, 100*short, who1, r.Goodput, r.ShareBytes)
+		if long > 0.05 {
+			t.Errorf("seed %d: %s differs by %.1f%% over 10 s", seed, who10, 100*long)
+		}
+		if short > 0.15 {
+			t.Errorf("seed %d: %s differs by %.1f%% over 1 s", seed, who1, 100*short)
+		}
+	}
+}
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/ledger"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/shares"
 	"github.com/acaciaglade/acaciaglade/pkg/warmup"
 )
 
@@ -26,6 +27,10 @@
 	Incarnation string
 	// ClockError is the largest difference between two hosts' clocks.
 	ClockError time.Duration
+	// Line is how many admitted attempts may wait for room.
+	Line int
+	// Reserved is how much of the limit only priority work may use.
+	Reserved int
 	// Warmup is the settings of the limit.
 	Warmup warmup.Config
 }
@@ -35,6 +40,9 @@
 	cfg      Config
 	ledger   *ledger.Ledger
 	limiter  *warmup.Limiter
+	shares   *shares.Counter
+	line     line
+	virtual  float64
 	marks    api.Marks
 	running  int
 	leaving  bool
@@ -46,13 +54,20 @@
 
 // New returns a gate that admits nothing until the upstream is ready.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, ledger: ledger.New(cfg.ClockError), limiter: warmup.New(cfg.Warmup)}
+	return &Gate{
+		cfg:     cfg,
+		ledger:  ledger.New(cfg.ClockError),
+		limiter: warmup.New(cfg.Warmup),
+		shares:  shares.NewCounter(),
+	}
 }
 
 // Decision is the answer to an attempt.
 type Decision struct {
 	// Admitted is true when the caller must run the attempt.
 	Admitted bool
+	// Queued is true when an admitted attempt must wait for its turn first.
+	Queued bool
 	// Attach is true when the request already runs or has finished, and the
 	// caller must relay its answer.
 	Attach bool
@@ -86,14 +101,20 @@
 	if reason, closed := g.closed(); closed {
 		return refuse(api.OutcomeNotRun, reason)
 	}
-	if g.running >= g.limiter.Limit() {
+	room := g.hasRoom(a.Priority)
+	if !room && len(g.line) >= g.cfg.Line {
 		return refuse(api.OutcomeNotRun, problem.ReasonNoRoom)
 	}
 	if !g.ledger.Admit(a.RequestID, deadline, now) {
 		return refuse(api.OutcomeNotRun, problem.ReasonDeadlineExceeded)
 	}
-	g.running++
-	return Decision{Admitted: true}
+	g.shares.Add(a.Organisation, a.Entry, a.Weight, a.Cost, now)
+	if room {
+		g.start(a.Virtual, a.Priority)
+	} else {
+		g.line.add(a)
+	}
+	return Decision{Admitted: true, Queued: !room}
 }
 
 // closed reports whether the upstream takes no new work at all.
@@ -126,7 +147,7 @@
 // Finish records the end of a dispatched attempt.
 func (g *Gate) Finish(id string, known bool) { g.ledger.Finish(id, known) }
 
-// Release gives back the room of an admitted attempt.
+// Release gives back the room of an attempt. Turns must be called next.
 func (g *Gate) Release() { g.running-- }
 
 // Withdraw answers a question about a request, and makes sure that a request
@@ -136,7 +157,11 @@
 	if w.Incarnation != g.cfg.Incarnation {
 		return api.OutcomeUnknown
 	}
-	return g.ledger.Withdraw(w.RequestID, time.UnixMilli(w.DeadlineUnixMilli), now).Outcome()
+	outcome := g.ledger.Withdraw(w.RequestID, time.UnixMilli(w.DeadlineUnixMilli), now).Outcome()
+	if outcome == api.OutcomeNotRun {
+		g.line.remove(w.RequestID)
+	}
+	return outcome
 }
 
 // SetMarks takes newer marks and drops older ones. It reports whether the marks
@@ -152,7 +177,7 @@
 // Leave closes the gate for good. Running attempts go on.
 func (g *Gate) Leave() { g.leaving = true }
 
-// Running returns the number of admitted attempts that have not been released.
+// Running returns the number of attempts that hold room.
 func (g *Gate) Running() int { return g.running }
 
 // Observe takes a sample of the upstream.
@@ -178,9 +203,12 @@
 		Incarnation:   g.cfg.Incarnation,
 		Sequence:      g.sequence,
 		Limit:         g.limiter.Limit(),
+		Reserved:      g.reserved(),
 		Running:       g.running,
+		Line:          len(g.line),
 		Leaving:       g.leaving,
 		Ready:         !closed,
+		Virtual:       g.virtual,
 		MarksVersion:  g.marks.Version,
 		StepMillis:    float64(g.step) / float64(time.Millisecond),
 		Skew:          g.skew,
--- /dev/null
+++ b/pkg/admission/shares.go
@@ -0,0 +1,29 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// Settle corrects the attained service of an attempt's organisation once the
+// real cost is known.
+func (g *Gate) Settle(a *api.AttemptRequest, cost float64, now time.Time) {
+	g.shares.Add(a.Organisation, a.Entry, a.Weight, cost-a.Cost, now)
+}
+
+// Answer returns the gate's state for the entry that asks, with the attained
+// service that the entry doesn't know yet.
+func (g *Gate) Answer(q *api.ReportRequest, now time.Time) api.Report {
+	report := g.Report()
+	s := q.Shares
+	if s == nil {
+		return report
+	}
+	seen := s.Seen
+	if s.Incarnation != g.cfg.Incarnation {
+		seen = 0
+	}
+	report.Shares = g.shares.Answer(s.Entry, seen, now)
+	return report
+}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -45,6 +45,10 @@
 	Orphan time.Duration
 	// SampleInterval is the time between two samples of the upstream.
 	SampleInterval time.Duration
+	// Line is how many admitted attempts may wait for room.
+	Line int
+	// Reserved is how much of the limit only priority work may use.
+	Reserved int
 	// Warmup is the settings of the admission limit.
 	Warmup warmup.Config
 }
@@ -81,6 +85,8 @@
 			Service:       cfg.Service,
 			Incarnation:   incarnation,
 			ClockError:    cfg.ClockError,
+			Line:          cfg.Line,
+			Reserved:      cfg.Reserved,
 			Warmup:        cfg.Warmup,
 		}),
 		runs: make(map[string]*run),
@@ -107,6 +113,7 @@
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.gate.Leave()
+	a.turns()
 	a.mu.Unlock()
 	a.log.Info("leaving; no new work is admitted")
 	done := make(chan struct{})
@@ -131,6 +138,7 @@
 	defer a.mu.Unlock()
 	if err != nil {
 		a.gate.Unreachable()
+		a.turns()
 		return
 	}
 	a.gate.Observe(warmup.Sample{
@@ -138,6 +146,7 @@
 		Step:        time.Duration(load.StepMillis * float64(time.Millisecond)),
 		Cold:        load.Cold,
 	}, load.Skew, time.Now())
+	a.turns()
 }
 
 // sweep forgets answers that nobody needs any more and cancels abandoned runs.
@@ -170,12 +179,12 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(req.DeadlineUnixMilli))
 	r := newRun(req.RequestID, cancel, now)
+	r.queued = d.Queued
 	a.runs[req.RequestID] = r
 	a.metrics.running.Inc()
 	a.work.Go(func() {
 		defer cancel()
-		a.execute(ctx, req, r)
-		a.release()
+		a.serve(ctx, req, r)
 	})
 	return d, r
 }
@@ -193,6 +202,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.Release()
+	a.turns()
 	a.metrics.running.Dec()
 }
 
--- a/pkg/agent/http.go
+++ b/pkg/agent/http.go
@@ -67,6 +67,9 @@
 	}
 	a.mu.Lock()
 	outcome := a.gate.Withdraw(&req, time.Now())
+	if r := a.runs[req.RequestID]; r != nil && outcome == api.OutcomeNotRun {
+		r.cancel()
+	}
 	a.mu.Unlock()
 	return c.JSON(http.StatusOK, api.WithdrawReply{Outcome: outcome})
 }
@@ -79,13 +82,14 @@
 	if req.Marks != nil {
 		a.takeMarks(*req.Marks)
 	}
-	return c.JSON(http.StatusOK, a.report())
+	return c.JSON(http.StatusOK, a.answer(&req))
 }
 
 func (a *Agent) takeMarks(m api.Marks) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.gate.SetMarks(m) {
+		a.turns()
 		a.log.WithField("version", m.Version).Info("marks in force")
 	}
 }
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -21,12 +21,16 @@
 	sum     *stream.Checksum
 	ended   bool
 	changed chan struct{}
+	// queued is true when the request was admitted to the line, and turn takes
+	// what becomes of it.
+	queued  bool
+	turn    chan turn
 	readers int
 	idleAt  time.Time
 }
 
 func newRun(id string, cancel context.CancelFunc, now time.Time) *run {
-	return &run{id: id, cancel: cancel, sum: stream.NewChecksum(), changed: make(chan struct{}), idleAt: now}
+	return &run{id: id, cancel: cancel, sum: stream.NewChecksum(), changed: make(chan struct{}), turn: make(chan turn, 1), idleAt: now}
 }
 
 // head adds the head frame.
@@ -83,6 +87,13 @@
 	return r.frames[i:], r.ended, r.changed
 }
 
+// parts returns the number of data frames so far.
+func (r *run) parts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sum.Count()
+}
+
 // attach counts a reader, which detach takes back.
 func (r *run) attach() {
 	r.mu.Lock()
--- /dev/null
+++ b/pkg/agent/shares.go
@@ -0,0 +1,23 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// answer returns the report for the entry that asks.
+func (a *Agent) answer(q *api.ReportRequest) api.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Answer(q, time.Now())
+}
+
+// settle counts the real cost of an attempt to its organisation: one token for
+// each part of the answer.
+func (a *Agent) settle(req *api.AttemptRequest, r *run) {
+	cost := float64(r.parts())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Settle(req, cost, time.Now())
+}
--- a/pkg/api/attempt.go
+++ b/pkg/api/attempt.go
@@ -16,6 +16,14 @@
 	Incarnation string `json:"incarnation"`
 	// Organisation is the name of the caller's organisation.
 	Organisation string `json:"organisation"`
+	// Weight is the organisation's weight.
+	Weight int `json:"weight,omitempty"`
+	// Entry is the name of the entry that sends the attempt.
+	Entry string `json:"entry,omitempty"`
+	// Cost is the expected cost in tokens.
+	Cost float64 `json:"cost,omitempty"`
+	// Virtual is the organisation's virtual time when the attempt was sent.
+	Virtual float64 `json:"virtual,omitempty"`
 	// Service is the name of the service that is called.
 	Service string `json:"service"`
 	// Model is true when the upstream is a model engine.
--- a/pkg/api/report.go
+++ b/pkg/api/report.go
@@ -14,18 +14,26 @@
 	Sequence uint64 `json:"sequence"`
 	// Limit is how many requests the upstream may run at once now.
 	Limit int `json:"limit"`
+	// Reserved is how much of the limit only priority work may use.
+	Reserved int `json:"reserved,omitempty"`
 	// Running is how many requests the upstream runs now.
 	Running int `json:"running"`
+	// Line is how many admitted requests wait for room.
+	Line int `json:"line,omitempty"`
 	// Leaving is true once the upstream has started to leave.
 	Leaving bool `json:"leaving"`
 	// Ready is false while the upstream can't take work.
 	Ready bool `json:"ready"`
+	// Virtual is the largest virtual time of an attempt that started.
+	Virtual float64 `json:"virtual,omitempty"`
 	// MarksVersion is the version of the marks that the agent has in force.
 	MarksVersion uint64 `json:"marks_version"`
 	// StepMillis is the upstream's recent step time in milliseconds.
 	StepMillis float64 `json:"step_millis,omitempty"`
 	// Skew is the recent ratio of the slowest rank's step time to the mean.
 	Skew float64 `json:"skew,omitempty"`
+	// Shares is set on answers to questions that ask for it.
+	Shares *ShareReport `json:"shares,omitempty"`
 }
 
 // Marks is the part of the table that agents hold: the failure domains and
@@ -38,5 +46,6 @@
 
 // ReportRequest asks an agent for a report and brings it newer marks.
 type ReportRequest struct {
-	Marks *Marks `json:"marks,omitempty"`
+	Marks  *Marks        `json:"marks,omitempty"`
+	Shares *ShareRequest `json:"shares,omitempty"`
 }
--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -61,6 +61,8 @@
 		Heartbeat:      s.Heartbeat,
 		Orphan:         s.Orphan,
 		SampleInterval: s.SampleInterval,
+		Line:           s.Line,
+		Reserved:       s.Reserved,
 		Warmup: warmup.Config{
 			Min:         s.MinRoom,
 			Max:         s.MaxRoom,
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -53,13 +53,16 @@
 	agents := peer.NewAgentClient(s.PeerToken)
 	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout))
 	view := fleet.New(fleet.Config{
-		ReportInterval: s.ReportInterval,
-		HostsInterval:  s.HostsInterval,
-		MaxReportAge:   s.MaxReportAge,
-		Seed:           maphash.Comparable(maphash.MakeSeed(), s.Name),
+		Entry:               s.Name,
+		LinePerOrganisation: s.LinePerOrganisation,
+		ReportInterval:      s.ReportInterval,
+		HostsInterval:       s.HostsInterval,
+		MaxReportAge:        s.MaxReportAge,
+		Seed:                maphash.Comparable(maphash.MakeSeed(), s.Name),
 		Scheduler: scheduler.Config{
 			MaxWaiting:        s.MaxWaiting,
 			AvoidAfterFailure: s.AvoidAfter,
+			Horizon:           s.LineHorizon,
 		},
 	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
 	return entry.New(entry.Config{
--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -1,9 +1,14 @@
 // Package fairqueue orders waiting requests by organisation. Priority
-// organisations go first, in order of arrival. The others are served by start-time
-// fair queueing on cost: each organisation has a virtual time that advances by
-// cost divided by weight, and the organisation with the least virtual time is
-// next. An organisation that was idle starts at the virtual time of the queue,
-// so it neither hoards credit nor carries a debt. The package is pure.
+// organisations go first, in order of arrival. The others are served by
+// start-time fair queueing on cost: each organisation has a virtual time that
+// advances by cost divided by weight, and the organisation with the least goes
+// next. Service given through other entries is charged too, so the virtual time
+// of an organisation is the same at all entries but for the lag of messages.
+//
+// An organisation that starts to wait is raised to the virtual time at which
+// requests start now, so it hoards no credit while idle. Work that starts at
+// once moves that time on, so using idle capacity leaves no debt. The package is
+// pure.
 package fairqueue
 
 import (
@@ -19,8 +24,12 @@
 	Priority     bool
 	// Cost is the expected cost in tokens.
 	Cost float64
+	// Start is the organisation's virtual time when the item was taken.
+	Start float64
 	// Deadline is when the item expires.
 	Deadline time.Time
+	// Prefix is the hash of the prompt's leading blocks, 0 when unknown.
+	Prefix uint64
 
 	flow *flow
 }
@@ -30,16 +39,20 @@
 	flows    map[string]*flow
 	active   flowHeap
 	priority []*Item
-	virtual  float64
 	arrivals uint64
 	items    map[string]*Item
+	cost     float64
+	virtual  float64
+	forgetAt int
+	pace     pace
 }
 
-// flow is the waiting requests of one organisation.
+// flow is the waiting requests of one organisation, with its attained service.
 type flow struct {
 	organisation string
 	weight       float64
 	virtual      float64
+	used         time.Time
 	items        []*Item
 	arrival      uint64
 	heapIndex    int
@@ -47,18 +60,21 @@
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{flows: make(map[string]*flow), items: make(map[string]*Item)}
+	return &Queue{flows: make(map[string]*flow), items: make(map[string]*Item), forgetAt: idleFlows}
 }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.items) }
 
+// Cost returns the expected cost of all waiting requests in tokens.
+func (q *Queue) Cost() float64 { return q.cost }
+
 // Waiting returns the number of waiting requests of an organisation.
 func (q *Queue) Waiting(organisation string) int {
+	n := 0
 	if f, ok := q.flows[organisation]; ok {
-		return len(f.items)
+		n = len(f.items)
 	}
-	n := 0
 	for _, it := range q.priority {
 		if it.Organisation == organisation {
 			n++
@@ -68,42 +84,55 @@
 }
 
 // Push adds a request at the end of its organisation's line.
-func (q *Queue) Push(it *Item) {
+func (q *Queue) Push(it *Item, now time.Time) {
 	q.items[it.ID] = it
+	q.cost += it.Cost
 	if it.Priority {
 		q.priority = append(q.priority, it)
 		return
 	}
-	f := q.flowOf(it)
-	f.items = append(f.items, it)
+	f := q.flow(it.Organisation, it.Weight, now)
 	it.flow = f
-	if len(f.items) == 1 {
+	if len(f.items) == 0 {
+		q.raise(f)
 		q.arrivals++
 		f.arrival = q.arrivals
-		f.virtual = max(f.virtual, q.virtual)
+		f.items = append(f.items, it)
 		heap.Push(&q.active, f)
+		return
 	}
+	f.items = append(f.items, it)
 }
 
-// Pop removes and returns the next request, or nil.
-func (q *Queue) Pop() *Item {
-	if len(q.priority) > 0 {
-		it := q.priority[0]
-		q.priority = q.priority[1:]
-		delete(q.items, it.ID)
-		return it
+// Next returns the first request that may go, or nil. Organisations whose
+// oldest request may not go are passed over.
+func (q *Queue) Next(may func(*Item) bool) *Item {
+	if len(q.priority) > 0 && may(q.priority[0]) {
+		return q.priority[0]
 	}
-	if len(q.active) == 0 {
-		return nil
+	var passed []*flow
+	defer func() {
+		for _, f := range passed {
+			heap.Push(&q.active, f)
+		}
+	}()
+	for len(q.active) > 0 {
+		if it := q.active[0].items[0]; may(it) {
+			return it
+		}
+		passed = append(passed, heap.Pop(&q.active).(*flow))
 	}
-	f := q.active[0]
-	it := f.items[0]
-	f.items = f.items[1:]
-	delete(q.items, it.ID)
-	q.virtual = f.virtual
-	f.virtual += it.Cost / f.weight
-	q.settle(f)
-	return it
+	return nil
+}
+
+// Take removes a request that is sent, sets its Start, and charges its
+// organisation.
+func (q *Queue) Take(it *Item) {
+	if !it.Priority {
+		it.Start = it.flow.virtual
+		q.charge(it.flow, it.Cost)
+	}
+	q.Remove(it.ID)
 }
 
 // Remove takes a waiting request out. It reports whether it was waiting.
@@ -113,6 +142,7 @@
 		return false
 	}
 	delete(q.items, id)
+	q.cost -= it.Cost
 	if it.Priority {
 		q.priority = without(q.priority, it)
 		return true
@@ -122,17 +152,12 @@
 	return true
 }
 
-// Attain corrects the virtual time of an organisation by the difference between
-// the real and the expected cost of a request that has ended.
-func (q *Queue) Attain(organisation string, weight int, difference float64) {
-	f, ok := q.flows[organisation]
-	if !ok {
-		return
-	}
-	f.virtual += difference / float64(max(1, weight))
-	if len(f.items) > 0 {
-		heap.Fix(&q.active, f.heapIndex)
-	}
+// Charge adds service that an organisation was given through another entry, or
+// the difference between the real and the expected cost of a request.
+func (q *Queue) Charge(organisation string, weight int, cost float64, now time.Time) {
+	f := q.flow(organisation, weight, now)
+	q.charge(f, cost)
+	q.fix(f)
 }
 
 // Expire removes and returns the requests whose deadline has passed.
@@ -149,44 +174,6 @@
 	return expired
 }
 
-func (q *Queue) flowOf(it *Item) *flow {
-	f, ok := q.flows[it.Organisation]
-	if !ok {
-		f = &flow{organisation: it.Organisation}
-		q.flows[it.Organisation] = f
-	}
-	f.weight = float64(max(1, it.Weight))
-	return f
-}
-
-// settle puts a flow in its place after its first item has changed, and forgets
-// it once it is idle and its virtual time has been reached by the queue.
-func (q *Queue) settle(f *flow) {
-	if len(f.items) > 0 {
-		heap.Fix(&q.active, f.heapIndex)
-		return
-	}
-	if f.heapIndex >= 0 && f.heapIndex < len(q.active) && q.active[f.heapIndex] == f {
-		heap.Remove(&q.active, f.heapIndex)
-	}
-	q.forgetIdle()
-}
-
-// forgetIdle removes idle flows that the queue's virtual time has passed.
-func (q *Queue) forgetIdle() {
-	if len(q.flows) <= 2*len(q.active)+idleFlows {
-		return
-	}
-	for name, f := range q.flows {
-		if len(f.items) == 0 && f.virtual <= q.virtual {
-			delete(q.flows, name)
-		}
-	}
-}
-
-// idleFlows is how many idle flows are kept before a clean-up is tried.
-const idleFlows = 64
-
 func without(items []*Item, it *Item) []*Item {
 	for i := range items {
 		if items[i] == it {
@@ -195,38 +182,3 @@
 	}
 	return items
 }
-
-// flowHeap orders flows by virtual time, then by arrival.
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
-	}
-	return h[i].arrival < h[j].arrival
-}
-
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex, h[j].heapIndex = i, j
-}
-
-// Push implements heap.Interface.
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.heapIndex = len(*h)
-	*h = append(*h, f)
-}
-
-// Pop implements heap.Interface.
-func (h *flowHeap) Pop() any {
-	last := len(*h) - 1
-	f := (*h)[last]
-	*h = (*h)[:last]
-	f.heapIndex = -1
-	return f
-}
-
-var _ heap.Interface = (*flowHeap)(nil)
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -88,6 +88,7 @@
 			return err
 		}
 		f.retries.WithLabelValues(j.reason()).Inc()
+		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, -r.Cost)
 	}
 }
 
@@ -116,7 +117,7 @@
 		j.verifier = stream.NewVerifier(j.request.ID)
 	}
 	failed := true
-	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
+	defer func() { j.fleet.Release(j.request.ID, failed) }()
 	event, err := j.send(ctx, u)
 	for {
 		if err != nil {
@@ -152,6 +153,10 @@
 		Attempt:           j.attempts,
 		Incarnation:       u.Report.Incarnation,
 		Organisation:      r.Organisation.Name,
+		Weight:            r.Organisation.Weight,
+		Entry:             u.Entry,
+		Cost:              r.Cost,
+		Virtual:           u.Virtual,
 		Service:           r.Service.Name,
 		Model:             r.Service.Kind == table.KindModel,
 		Priority:          r.Organisation.Priority,
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -43,6 +43,7 @@
 	r := j.request
 	switch f.Kind {
 	case api.FrameHead:
+		j.fleet.Started(r.ID)
 		return r.Reply.Head(f.Status, f.ContentType)
 	case api.FrameData:
 		j.state.Progress()
--- a/pkg/filter/queue/queue.go
+++ b/pkg/filter/queue/queue.go
@@ -13,7 +13,8 @@
 // Source hands out upstreams.
 type Source interface {
 	Acquire(ctx context.Context, r scheduler.Request) (fleet.Upstream, error)
-	Release(upstream string, failed bool)
+	Started(requestID string)
+	Release(requestID string, failed bool)
 }
 
 // Acquire waits for an upstream for a request.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -22,6 +22,11 @@
 
 // Config is the settings of a fleet view.
 type Config struct {
+	// Entry is the name of this entry.
+	Entry string
+	// LinePerOrganisation is how many attempts of one organisation may wait at
+	// one agent.
+	LinePerOrganisation int
 	// ReportInterval is the time between two reports of an agent.
 	ReportInterval time.Duration
 	// HostsInterval is the time between two reads of the host list.
@@ -38,6 +43,10 @@
 type Upstream struct {
 	Report  api.Report
 	Address string
+	// Entry is the name of the entry that was granted the upstream.
+	Entry string
+	// Virtual is the organisation's virtual time.
+	Virtual float64
 }
 
 // Fleet is an entry's view of its upstreams.
@@ -58,7 +67,10 @@
 
 // New returns a fleet view. Run must be called for it to see upstreams.
 func New(cfg Config, list *hosts.Client, agents *peer.AgentClient) *Fleet {
-	policy := &selection.TwoChoices{MaxAge: cfg.MaxReportAge, Rand: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	policy := &selection.TwoChoices{
+		Limits: selection.Limits{MaxAge: cfg.MaxReportAge, LinePerOrganisation: cfg.LinePerOrganisation},
+		Rand:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
 	return &Fleet{
 		cfg:       cfg,
 		list:      list,
@@ -132,11 +144,18 @@
 	}
 }
 
-// Release gives back an upstream after an attempt.
-func (f *Fleet) Release(upstream string, failed bool) {
+// Started records that the upstream has started to answer a request.
+func (f *Fleet) Started(requestID string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deliver(f.scheduler.Started(requestID, time.Now()))
+}
+
+// Release gives back the upstream of a request after an attempt.
+func (f *Fleet) Release(requestID string, failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deliver(f.scheduler.Ended(upstream, failed, time.Now()))
+	f.deliver(f.scheduler.Ended(requestID, failed, time.Now()))
 }
 
 // Report takes a report that came with an answer.
@@ -153,7 +172,7 @@
 func (f *Fleet) Attain(service, organisation string, weight int, difference float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.scheduler.Attain(service, organisation, weight, difference)
+	f.scheduler.Attain(service, organisation, weight, difference, time.Now())
 }
 
 // Candidates returns the upstreams of a service as this entry sees them.
@@ -169,7 +188,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Upstream{Report: g.Upstream, Address: f.addresses[g.Upstream.Upstream]}, nil
+	return Upstream{Report: g.Upstream, Address: f.addresses[g.Upstream.Upstream], Entry: f.cfg.Entry, Virtual: g.Virtual}, nil
 }
 
 // deliver hands grants to the waiting requests. The caller holds the lock.
--- a/pkg/fleet/poll.go
+++ b/pkg/fleet/poll.go
@@ -67,8 +67,8 @@
 	defer cancel()
 	f.mu.Lock()
 	address, index := f.addresses[name], f.index
+	req := &api.ReportRequest{Shares: f.scheduler.ShareRequest(f.cfg.Entry, name)}
 	f.mu.Unlock()
-	req := &api.ReportRequest{}
 	if index != nil && index.Table().Version > known {
 		marks := index.Table().Marks()
 		req.Marks = &marks
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/fairqueue"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
+	"github.com/acaciaglade/acaciaglade/pkg/shares"
 )
 
 // Config is the settings of a scheduler.
@@ -22,6 +23,9 @@
 	MaxWaiting int
 	// AvoidAfterFailure is how long an upstream is passed over after a failure.
 	AvoidAfterFailure time.Duration
+	// Horizon is how long before its turn a request may be sent to wait in an
+	// agent's line.
+	Horizon time.Duration
 }
 
 // Grant gives a waiting request its upstream, or refuses it.
@@ -29,6 +33,8 @@
 	ID string
 	// Upstream is set when the request is to be sent.
 	Upstream api.Report
+	// Virtual is the organisation's virtual time, by which agents order.
+	Virtual float64
 	// Refusal is set when the request is refused.
 	Refusal *problem.Problem
 }
@@ -42,6 +48,8 @@
 	Priority     bool
 	Cost         float64
 	Deadline     time.Time
+	// Prefix is the hash of the prompt's leading blocks, 0 when unknown.
+	Prefix uint64
 }
 
 // Scheduler is the state of one entry.
@@ -50,11 +58,13 @@
 	policy   selection.Policy
 	services map[string]*service
 	upstream map[string]*service
+	sent     map[string]*sent
 }
 
 // service is the queue and the upstreams of one service.
 type service struct {
 	queue      *fairqueue.Queue
+	shares     *shares.View
 	candidates []selection.Candidate
 }
 
@@ -65,6 +75,7 @@
 		policy:   policy,
 		services: make(map[string]*service),
 		upstream: make(map[string]*service),
+		sent:     make(map[string]*sent),
 	}
 }
 
@@ -81,8 +92,9 @@
 		Priority:     r.Priority,
 		Cost:         r.Cost,
 		Deadline:     r.Deadline,
-	})
-	return svc.grants(s.policy, now)
+		Prefix:       r.Prefix,
+	}, now)
+	return s.grants(svc, now)
 }
 
 // Cancel removes a waiting request.
@@ -93,40 +105,26 @@
 func (s *Scheduler) Report(r api.Report, now time.Time) []Grant {
 	svc := s.service(r.Service)
 	c := svc.candidate(r.Upstream)
-	if c == nil {
-		svc.candidates = append(svc.candidates, selection.Candidate{})
-		c = &svc.candidates[len(svc.candidates)-1]
+	if c.Candidate == nil {
+		svc.candidates = append(svc.candidates, selection.Candidate{PendingOf: make(map[string]int)})
+		c = candidate{&svc.candidates[len(svc.candidates)-1]}
 		s.upstream[r.Upstream] = svc
 	}
+	svc.mergeShares(&r, now)
+	svc.queue.Advance(r.Virtual, now)
 	if c.Report.Incarnation == r.Incarnation && r.Sequence <= c.Report.Sequence {
 		return nil
 	}
 	c.Report = r
 	c.ReceivedAt = now
 	c.SinceReport = 0
-	return svc.grants(s.policy, now)
-}
-
-// Ended records that an attempt at an upstream has ended. failed is true when
-// the attempt broke or was refused.
-func (s *Scheduler) Ended(upstream string, failed bool, now time.Time) []Grant {
-	svc, ok := s.upstream[upstream]
-	if !ok {
-		return nil
-	}
-	c := svc.candidate(upstream)
-	c.InFlight--
-	c.SinceReport = max(0, c.SinceReport-1)
-	if failed {
-		c.AvoidUntil = now.Add(s.cfg.AvoidAfterFailure)
-	}
-	return svc.grants(s.policy, now)
+	return s.grants(svc, now)
 }
 
 // Attain corrects an organisation's share by the difference between the real
 // and the expected cost of a request.
-func (s *Scheduler) Attain(serviceName, organisation string, weight int, difference float64) {
-	s.service(serviceName).queue.Attain(organisation, weight, difference)
+func (s *Scheduler) Attain(serviceName, organisation string, weight int, difference float64, now time.Time) {
+	s.service(serviceName).queue.Charge(organisation, weight, difference, now)
 }
 
 // SetOut takes the marks of a new table version.
@@ -137,7 +135,7 @@
 			c := &svc.candidates[i]
 			c.Out = out(c.Report.Upstream, c.Report.FailureDomain)
 		}
-		grants = append(grants, svc.grants(s.policy, now)...)
+		grants = append(grants, s.grants(svc, now)...)
 	}
 	return grants
 }
@@ -150,7 +148,7 @@
 		for _, it := range svc.queue.Expire(now) {
 			grants = append(grants, Grant{ID: it.ID, Refusal: problem.New(problem.ReasonDeadlineExceeded, "")})
 		}
-		grants = append(grants, svc.grants(s.policy, now)...)
+		grants = append(grants, s.grants(svc, now)...)
 	}
 	return grants
 }
@@ -164,34 +162,43 @@
 func (s *Scheduler) service(name string) *service {
 	svc, ok := s.services[name]
 	if !ok {
-		svc = &service{queue: fairqueue.New()}
+		svc = &service{queue: fairqueue.New(), shares: shares.NewView()}
 		s.services[name] = svc
 	}
 	return svc
 }
 
-func (svc *service) candidate(upstream string) *selection.Candidate {
+func (svc *service) candidate(upstream string) candidate {
 	for i := range svc.candidates {
 		if svc.candidates[i].Report.Upstream == upstream {
-			return &svc.candidates[i]
+			return candidate{&svc.candidates[i]}
 		}
 	}
-	return nil
+	return candidate{}
 }
 
 // grants hands out upstreams while both a request and an upstream are there.
-func (svc *service) grants(policy selection.Policy, now time.Time) []Grant {
+func (s *Scheduler) grants(svc *service, now time.Time) []Grant {
 	var grants []Grant
-	for svc.queue.Len() > 0 {
-		i := policy.Choose(svc.candidates, now)
-		if i < 0 {
+	for {
+		chosen := -1
+		it := svc.queue.Next(func(it *fairqueue.Item) bool {
+			work := selection.Work{
+				Organisation: it.Organisation,
+				Priority:     it.Priority,
+				Prefix:       it.Prefix,
+				RoomOnly:     svc.queue.Ahead(it) > s.cfg.Horizon,
+			}
+			chosen = s.policy.Choose(svc.candidates, work, now)
+			return chosen >= 0
+		})
+		if it == nil {
 			return grants
 		}
-		it := svc.queue.Pop()
-		c := &svc.candidates[i]
-		c.InFlight++
-		c.SinceReport++
-		grants = append(grants, Grant{ID: it.ID, Upstream: c.Report})
+		svc.queue.Take(it)
+		c := candidate{&svc.candidates[chosen]}
+		c.send(it.Organisation)
+		s.sent[it.ID] = &sent{service: svc, upstream: c.Report.Upstream, organisation: it.Organisation}
+		grants = append(grants, Grant{ID: it.ID, Upstream: c.Report, Virtual: it.Start})
 	}
-	return grants
 }
--- /dev/null
+++ b/pkg/selection/candidate.go
@@ -0,0 +1,95 @@
+package selection
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// Candidate is an entry's view of one upstream.
+type Candidate struct {
+	// Report is the newest report of the upstream's agent.
+	Report api.Report
+	// ReceivedAt is when the report arrived.
+	ReceivedAt time.Time
+	// InFlight is how many attempts this entry has running or waiting there.
+	InFlight int
+	// SinceReport is how many of them were sent after the report arrived.
+	SinceReport int
+	// Pending is how many of them have not started, and PendingOf the same by
+	// organisation.
+	Pending   int
+	PendingOf map[string]int
+	// Out is true when the table takes the upstream or its failure domain out.
+	Out bool
+	// AvoidUntil is until when the upstream is passed over after a failure.
+	AvoidUntil time.Time
+}
+
+// Work is what a policy knows of a request.
+type Work struct {
+	Organisation string
+	// Priority is true when the organisation has priority.
+	Priority bool
+	// RoomOnly is true when the request must not wait in an agent's line yet.
+	RoomOnly bool
+	// Prefix is the hash of the prompt's leading blocks, 0 when unknown.
+	Prefix uint64
+}
+
+// Limits bound the use of candidates.
+type Limits struct {
+	// MaxAge is the age beyond which a report is not used.
+	MaxAge time.Duration
+	// LinePerOrganisation is how many attempts of one organisation this entry
+	// may have waiting at one agent once there is no free room.
+	LinePerOrganisation int
+}
+
+// Eligible returns the indices of the candidates with free room for the work,
+// and when there are none, of those where it may wait in the agent's line.
+func (l Limits) Eligible(candidates []Candidate, w Work, now time.Time) []int {
+	var roomy, lined []int
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case !c.usable(now, l.MaxAge):
+		case c.occupied() < c.room(w):
+			roomy = append(roomy, i)
+		case !w.RoomOnly && c.Pending < c.Report.Limit && c.PendingOf[w.Organisation] < l.LinePerOrganisation:
+			lined = append(lined, i)
+		}
+	}
+	if len(roomy) > 0 {
+		return roomy
+	}
+	return lined
+}
+
+// usable reports whether the candidate takes any work.
+func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
+	r := &c.Report
+	if c.Out || r.Leaving || !r.Ready || now.Before(c.AvoidUntil) {
+		return false
+	}
+	return now.Sub(c.ReceivedAt) <= maxAge
+}
+
+// room returns how many attempts the upstream may run before the work.
+func (c *Candidate) room(w Work) int {
+	if w.Priority {
+		return c.Report.Limit
+	}
+	return c.Report.Limit - c.Report.Reserved
+}
+
+// occupied estimates how many attempts the upstream runs or has waiting.
+func (c *Candidate) occupied() int {
+	return max(c.Report.Running+c.Report.Line+c.SinceReport, c.InFlight)
+}
+
+// Load is the occupied fraction of the limit, weighted by the upstream's skew.
+func (c *Candidate) Load() float64 {
+	skew := max(1, c.Report.Skew)
+	return float64(c.occupied()) * skew / float64(max(1, c.Report.Limit))
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -39,21 +39,23 @@
 // Entry is the settings of an entry.
 type Entry struct {
 	Common
-	HostList        string        `long:"host-list" env:"ACACIAGLADE_HOST_LIST" description:"Base URL of the platform's host list. Required."`
-	OperatorToken   string        `long:"operator-token" env:"ACACIAGLADE_OPERATOR_TOKEN" description:"Bearer token of the operators, at least 16 characters. Required."`
-	HostsInterval   time.Duration `long:"hosts-interval" env:"ACACIAGLADE_HOSTS_INTERVAL" default:"2s" description:"Time between two reads of the host list."`
-	ReportInterval  time.Duration `long:"report-interval" env:"ACACIAGLADE_REPORT_INTERVAL" default:"250ms" description:"Time between two reports of an agent."`
-	MaxReportAge    time.Duration `long:"max-report-age" env:"ACACIAGLADE_MAX_REPORT_AGE" default:"2s" description:"Age beyond which a report is not used to choose an upstream."`
-	MaxBodyBytes    int64         `long:"max-body-bytes" env:"ACACIAGLADE_MAX_BODY_BYTES" default:"1048576" description:"Largest body of a request, in bytes."`
-	DefaultDeadline time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
-	MaxDeadline     time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
-	MaxWaiting      int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
-	CeilingBurst    time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
-	Silence         time.Duration `long:"silence" env:"ACACIAGLADE_SILENCE" default:"2s" description:"Time after which a silent answer stream is given up and resumed on a new connection."`
-	AskTimeout      time.Duration `long:"ask-timeout" env:"ACACIAGLADE_ASK_TIMEOUT" default:"1s" description:"Longest wait when an agent is asked for the state of a request."`
-	RetryRatio      float64       `long:"retry-ratio" env:"ACACIAGLADE_RETRY_RATIO" default:"0.1" description:"Retries that each request earns."`
-	RetryBurst      float64       `long:"retry-burst" env:"ACACIAGLADE_RETRY_BURST" default:"10" description:"Most retries that can be saved up."`
-	AvoidAfter      time.Duration `long:"avoid-after-failure" env:"ACACIAGLADE_AVOID_AFTER_FAILURE" default:"250ms" description:"Time for which an upstream is passed over after a failed attempt."`
+	HostList            string        `long:"host-list" env:"ACACIAGLADE_HOST_LIST" description:"Base URL of the platform's host list. Required."`
+	OperatorToken       string        `long:"operator-token" env:"ACACIAGLADE_OPERATOR_TOKEN" description:"Bearer token of the operators, at least 16 characters. Required."`
+	HostsInterval       time.Duration `long:"hosts-interval" env:"ACACIAGLADE_HOSTS_INTERVAL" default:"2s" description:"Time between two reads of the host list."`
+	ReportInterval      time.Duration `long:"report-interval" env:"ACACIAGLADE_REPORT_INTERVAL" default:"250ms" description:"Time between two reports of an agent."`
+	MaxReportAge        time.Duration `long:"max-report-age" env:"ACACIAGLADE_MAX_REPORT_AGE" default:"2s" description:"Age beyond which a report is not used to choose an upstream."`
+	MaxBodyBytes        int64         `long:"max-body-bytes" env:"ACACIAGLADE_MAX_BODY_BYTES" default:"1048576" description:"Largest body of a request, in bytes."`
+	DefaultDeadline     time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
+	MaxDeadline         time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
+	MaxWaiting          int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
+	LinePerOrganisation int           `long:"line-per-organisation" env:"ACACIAGLADE_LINE_PER_ORGANISATION" default:"2" description:"Requests of one organisation that this entry may have waiting beside one busy upstream."`
+	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"150ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
+	CeilingBurst        time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
+	Silence             time.Duration `long:"silence" env:"ACACIAGLADE_SILENCE" default:"2s" description:"Time after which a silent answer stream is given up and resumed on a new connection."`
+	AskTimeout          time.Duration `long:"ask-timeout" env:"ACACIAGLADE_ASK_TIMEOUT" default:"1s" description:"Longest wait when an agent is asked for the state of a request."`
+	RetryRatio          float64       `long:"retry-ratio" env:"ACACIAGLADE_RETRY_RATIO" default:"0.1" description:"Retries that each request earns."`
+	RetryBurst          float64       `long:"retry-burst" env:"ACACIAGLADE_RETRY_BURST" default:"10" description:"Most retries that can be saved up."`
+	AvoidAfter          time.Duration `long:"avoid-after-failure" env:"ACACIAGLADE_AVOID_AFTER_FAILURE" default:"250ms" description:"Time for which an upstream is passed over after a failed attempt."`
 }
 
 // Agent is the settings of an agent.
@@ -67,6 +69,8 @@
 	SampleInterval time.Duration `long:"sample-interval" env:"ACACIAGLADE_SAMPLE_INTERVAL" default:"200ms" description:"Time between two samples of the upstream's load."`
 	MinRoom        int           `long:"min-room" env:"ACACIAGLADE_MIN_ROOM" default:"1" description:"Requests that a cold upstream may run at once."`
 	MaxRoom        int           `long:"max-room" env:"ACACIAGLADE_MAX_ROOM" default:"16" description:"Requests that a warm upstream may run at once."`
+	Line           int           `long:"line" env:"ACACIAGLADE_LINE" default:"64" description:"Requests that may wait beside the upstream for room."`
+	Reserved       int           `long:"reserved" env:"ACACIAGLADE_RESERVED" default:"0" description:"Part of the room that only priority organisations may use, in requests."`
 	HealthyStep    time.Duration `long:"healthy-step" env:"ACACIAGLADE_HEALTHY_STEP" default:"27ms" description:"Longest step time of a healthy upstream."`
 	GrowEvery      time.Duration `long:"grow-every" env:"ACACIAGLADE_GROW_EVERY" default:"200ms" description:"Shortest time between two increases of the room."`
 }
@@ -146,6 +150,8 @@
 	c.positive(s.DefaultDeadline, "default-deadline")
 	c.require(s.MaxDeadline >= s.DefaultDeadline, "max-deadline", "give at least --default-deadline")
 	c.require(s.MaxWaiting > 0, "max-waiting", "give a number above 0")
+	c.require(s.LinePerOrganisation >= 0, "line-per-organisation", "give a number of at least 0")
+	c.require(s.LineHorizon >= 0, "line-horizon", "give a time of at least 0")
 	c.positive(s.CeilingBurst, "ceiling-burst")
 	c.positive(s.Silence, "silence")
 	c.positive(s.AskTimeout, "ask-timeout")
@@ -165,6 +171,8 @@
 	c.positive(s.Orphan, "orphan")
 	c.positive(s.SampleInterval, "sample-interval")
 	c.require(s.MinRoom >= 1, "min-room", "give a number of at least 1")
+	c.require(s.Line >= 0, "line", "give a number of at least 0")
+	c.require(s.Reserved >= 0 && s.Reserved < s.MaxRoom, "reserved", "give a number from 0 to below --max-room")
 	c.require(s.MaxRoom >= s.MinRoom, "max-room", "give at least --min-room")
 	c.positive(s.HealthyStep, "healthy-step")
 	c.positive(s.GrowEvery, "grow-every")
