--- a/lab/virtual/upstream.go
+++ b/lab/virtual/upstream.go
@@ -19,6 +19,9 @@
 	attempts map[string]*attempt
 }
 
+// firstAttempt is the number of every attempt, as each has a name of its own.
+const firstAttempt = 1
+
 // attempt is an admitted attempt.
 type attempt struct {
 	request *request
@@ -64,6 +67,7 @@
 	now := u.run.loop.now
 	a := &api.AttemptRequest{
 		RequestID:         q.attempt(),
+		Attempt:           firstAttempt,
 		Incarnation:       g.Upstream.Incarnation,
 		Virtual:           g.Virtual,
 		Organisation:      q.organisation.Name,
@@ -89,7 +93,7 @@
 func (u *upstream) dispatch(id string) {
 	a := u.attempts[id]
 	q := a.request
-	if !u.gate.Dispatch(id, q.deadline, u.run.loop.now) {
+	if !u.gate.Dispatch(id, firstAttempt, u.run.loop.now) {
 		u.end(id, notRun)
 		return
 	}
@@ -104,13 +108,13 @@
 
 // turns gives free room to waiting attempts.
 func (u *upstream) turns() {
-	t := u.gate.Turns()
+	t := u.gate.Turns(u.run.loop.now)
 	for _, id := range t.Start {
 		u.dispatch(id)
 	}
-	for _, id := range t.Refuse {
-		u.gate.Refuse(id)
-		u.drop(id, notRun)
+	for _, refused := range t.Refuse {
+		u.gate.Refuse(refused.RequestID, firstAttempt)
+		u.drop(refused.RequestID, notRun)
 	}
 }
 
@@ -126,7 +130,11 @@
 
 // end ends an attempt that has room.
 func (u *upstream) end(id string, a answer) {
-	u.gate.Finish(id, a == complete)
+	ending := admission.Lost
+	if a == complete {
+		ending = admission.Answered
+	}
+	u.gate.Finish(id, firstAttempt, ending)
 	u.gate.Release()
 	u.drop(id, a)
 	u.turns()
--- a/pkg/admission/line.go
+++ b/pkg/admission/line.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -17,6 +18,7 @@
 	id       string
 	priority bool
 	virtual  float64
+	deadline time.Time
 }
 
 func compareWaiting(a, b waiting) int {
@@ -34,7 +36,7 @@
 
 // add puts an attempt in its place.
 func (l *line) add(a *api.AttemptRequest) {
-	w := waiting{id: a.RequestID, priority: a.Priority, virtual: a.Virtual}
+	w := waiting{id: a.RequestID, priority: a.Priority, virtual: a.Virtual, deadline: time.UnixMilli(a.DeadlineUnixMilli)}
 	i := len(*l)
 	for i > 0 && compareWaiting(w, (*l)[i-1]) < 0 {
 		i--
@@ -56,22 +58,33 @@
 type Turns struct {
 	// Start lists the requests that have room now.
 	Start []string
-	// Refuse lists the requests that won't run here, and Reason says why.
-	Refuse []string
-	Reason problem.Reason
+	// Refuse lists the requests that won't run here.
+	Refuse []Refused
 }
 
-// Turns gives free room to waiting attempts. A closed gate refuses all of them.
-func (g *Gate) Turns() Turns {
+// Refused is an attempt that left the line without having run.
+type Refused struct {
+	RequestID string
+	Reason    problem.Reason
+}
+
+// Turns gives free room to waiting attempts, and refuses those past their
+// deadline. A closed gate refuses all of them.
+func (g *Gate) Turns(now time.Time) Turns {
 	var t Turns
-	if reason, closed := g.closed(); closed {
-		t.Reason = reason
-		for _, w := range g.line {
-			t.Refuse = append(t.Refuse, w.id)
+	reason, closed := g.closed()
+	now = g.clock.at(now)
+	g.line = slices.DeleteFunc(g.line, func(w waiting) bool {
+		switch {
+		case closed:
+			t.Refuse = append(t.Refuse, Refused{w.id, reason})
+		case !now.Before(w.deadline):
+			t.Refuse = append(t.Refuse, Refused{w.id, problem.ReasonDeadlineExceeded})
+		default:
+			return false
 		}
-		g.line = nil
-		return t
-	}
+		return true
+	})
 	for len(g.line) > 0 && g.hasRoom(g.line[0].priority) {
 		w := g.line[0]
 		g.line = slices.Delete(g.line, 0, 1)
--- a/pkg/admission/line_test.go
+++ b/pkg/admission/line_test.go
@@ -45,7 +45,7 @@
 	var order []string
 	for range 3 {
 		g.Release()
-		order = append(order, g.Turns().Start...)
+		order = append(order, g.Turns(start).Start...)
 	}
 	if want := []string{"second", "early"}; !slices.Equal(order, want) {
 		t.Fatalf("started %v, want %v", order, want)
@@ -58,9 +58,12 @@
 	g.Admit(attempt("waiting", false, 1), start)
 	g.Admit(attempt("withdrawn", false, 2), start)
 	outcome := g.Withdraw(&api.WithdrawRequest{RequestID: "withdrawn", Incarnation: "i", DeadlineUnixMilli: start.Add(time.Minute).UnixMilli()}, start)
+	if !g.LeaveLine("withdrawn") {
+		t.Fatal("the withdrawn attempt has left the line")
+	}
 	g.Leave()
-	turns := g.Turns()
-	if outcome != api.OutcomeNotRun || !slices.Equal(turns.Refuse, []string{"waiting"}) || turns.Reason != problem.ReasonLeaving {
+	turns := g.Turns(start)
+	if outcome != api.OutcomeNotRun || !slices.Equal(turns.Refuse, []Refused{{"waiting", problem.ReasonLeaving}}) {
 		t.Fatalf("withdrawn: %s, turns: %+v", outcome, turns)
 	}
 }
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/admission"
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/claim"
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -60,6 +61,7 @@
 	upstream    *upstreamClient
 	claims      *claim.Book
 	metrics     *agentMetrics
+	decisions   *decisionlog.Log
 	log         logger
 
 	mu   sync.Mutex
@@ -78,12 +80,14 @@
 		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
 		claims:      claim.NewBook(store),
 		metrics:     newAgentMetrics(reg),
+		decisions:   decisionlog.New(cfg.Upstream, maxDecisions),
 		log:         logging.For("agent"),
 		gate: admission.New(admission.Config{
 			Upstream:      cfg.Upstream,
 			FailureDomain: cfg.FailureDomain,
 			Service:       cfg.Service,
 			Incarnation:   incarnation,
+			Started:       time.Now(),
 			ClockError:    cfg.ClockError,
 			Line:          cfg.Line,
 			Reserved:      cfg.Reserved,
@@ -161,8 +165,20 @@
 			delete(a.runs, id)
 			continue
 		}
+		a.abandon(r)
+	}
+}
+
+// abandon stops a run that nobody reads. Work that is not idempotent goes on
+// once it was dispatched, so that its outcome becomes known. The caller holds
+// the lock.
+func (a *Agent) abandon(r *run) {
+	a.leaveLine(r)
+	if r.idempotent {
 		r.cancel()
+		return
 	}
+	a.gate.Refuse(r.id, r.attempt)
 }
 
 // admit decides on an attempt, and starts it when it is admitted.
@@ -177,8 +193,8 @@
 		a.metrics.refusals.WithLabelValues(d.Refusal.Reason).Inc()
 		return d, nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), time.UnixMilli(req.DeadlineUnixMilli))
-	r := newRun(req.RequestID, cancel, now)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := newRun(req, cancel, now)
 	r.queued = d.Queued
 	a.runs[req.RequestID] = r
 	a.metrics.running.Inc()
--- a/pkg/agent/http.go
+++ b/pkg/agent/http.go
@@ -20,6 +20,7 @@
 	g.DELETE(peer.PathAttempts+"/:id", a.handleCancel)
 	g.POST(peer.PathWithdraw, a.handleWithdraw)
 	g.POST(peer.PathReport, a.handleReport)
+	a.registerDecisions(g)
 }
 
 func (a *Agent) handleAttempt(c echo.Context) error {
@@ -28,6 +29,7 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	d, r := a.admit(&req, time.Now())
+	a.recordAdmission(&req, &d, r != nil)
 	w := newFrameWriter(c)
 	if r == nil {
 		return w.write(a.refusalFrame(req.RequestID, d.Outcome, d.Refusal))
@@ -51,11 +53,14 @@
 }
 
 func (a *Agent) handleCancel(c echo.Context) error {
+	attempt, err := strconv.Atoi(c.QueryParam("attempt"))
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
 	a.mu.Lock()
-	r := a.runs[c.Param("id")]
-	a.mu.Unlock()
-	if r != nil {
-		r.cancel()
+	defer a.mu.Unlock()
+	if r := a.runs[c.Param("id")]; r != nil && r.attempt == attempt {
+		a.abandon(r)
 	}
 	return c.NoContent(http.StatusOK)
 }
@@ -68,9 +73,10 @@
 	a.mu.Lock()
 	outcome := a.gate.Withdraw(&req, time.Now())
 	if r := a.runs[req.RequestID]; r != nil && outcome == api.OutcomeNotRun {
-		r.cancel()
+		a.leaveLine(r)
 	}
 	a.mu.Unlock()
+	a.recordWithdrawal(req.RequestID, outcome)
 	return c.JSON(http.StatusOK, api.WithdrawReply{Outcome: outcome})
 }
 
--- a/pkg/agent/shares.go
+++ b/pkg/agent/shares.go
@@ -13,9 +13,9 @@
 	return a.gate.Answer(q, time.Now())
 }
 
-// settle counts the real cost of an attempt to its organisation: one token for
+// account counts the real cost of an attempt to its organisation: one token for
 // each part of the answer.
-func (a *Agent) settle(req *api.AttemptRequest, r *run) {
+func (a *Agent) account(req *api.AttemptRequest, r *run) {
 	cost := float64(r.parts())
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -24,7 +24,6 @@
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
-	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
 )
 
@@ -56,11 +55,11 @@
 	cfg      Config
 	store    *tablestore.Store
 	fleet    *fleet.Fleet
+	exchange *tablestore.Exchange
 	chain    pipe.Handler
 	api      *operator.API
 	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	refusals *prometheus.CounterVec
+	accounts *accounts
 	stopping atomic.Bool
 	log      *logrus.Entry
 }
@@ -72,19 +71,12 @@
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
-		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f),
+		exchange: tablestore.NewExchange(store, peer.NewEntryClient(cfg.PeerToken), f.Hosts),
+		accounts: newAccounts(cfg.Name, agents, f.Hosts, reg),
 		registry: reg,
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_requests_total",
-			Help: "Requests of callers, by organisation and result.",
-		}, []string{"organisation", "result"}),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_refusals_total",
-			Help: "Requests that were refused, by reason and whether they ran.",
-		}, []string{"reason", "ran"}),
-		log: logging.For("entry"),
+		log:      logging.For("entry"),
 	}
-	reg.MustRegister(e.requests, e.refusals)
+	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
 	e.chain = ceiling.New(e.chain, cfg.Ceiling)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
@@ -102,7 +94,9 @@
 	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.GET("/readyz", e.ready)
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
-	s.GET(peer.PathTable, e.peerTable, peer.RequireToken(e.cfg.PeerToken))
+	peers := s.Group("", peer.RequireToken(e.cfg.PeerToken))
+	e.store.RegisterPeer(peers)
+	e.accounts.registerPeer(peers)
 	e.api.Register(s)
 	s.POST(route.PathChat, e.chat)
 	s.Any(route.PrefixServices+"*", e.plain)
@@ -115,35 +109,21 @@
 	return c.NoContent(http.StatusOK)
 }
 
-// peerTable gives the table to another entry.
-func (e *Entry) peerTable(c echo.Context) error {
-	ix := e.store.Index()
-	if ix == nil {
-		return c.JSON(http.StatusOK, &table.Table{})
-	}
-	return c.JSON(http.StatusOK, ix.Table())
-}
-
 // serve runs a request through the filters and answers refusals.
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
-	r.Reply = reply
+	r.Reply, r.Decisions = reply, e.accounts.decisions
 	err := e.receive(c, r)
 	if err == nil {
 		err = e.chain.Serve(c.Request().Context(), r)
 	}
-	organisation := ""
-	if r.Organisation != nil {
-		organisation = r.Organisation.Name
-	}
 	if err == nil {
-		e.requests.WithLabelValues(organisation, "complete").Inc()
+		e.accounts.ended(r, nil)
 		return nil
 	}
-	e.requests.WithLabelValues(organisation, "refused").Inc()
 	p := asProblem(err)
 	p.RequestID = r.ID
-	e.refusals.WithLabelValues(string(p.Reason), string(p.Ran)).Inc()
+	e.accounts.ended(r, p)
 	return reply.Refuse(p)
 }
 
@@ -158,5 +138,7 @@
 // Run follows the platform's store and the fleet until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	go e.store.Watch(ctx)
+	go e.store.SettleProvisional(ctx)
+	go e.exchange.Run(ctx)
 	e.fleet.Run(ctx)
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -27,12 +27,17 @@
 	// LinePerOrganisation is how many attempts of one organisation may wait at
 	// one agent.
 	LinePerOrganisation int
+	// SubsetSize is how many upstreams this entry takes; 0 means all.
+	SubsetSize int
 	// ReportInterval is the time between two reports of an agent.
 	ReportInterval time.Duration
 	// HostsInterval is the time between two reads of the host list.
 	HostsInterval time.Duration
 	// MaxReportAge is the age beyond which a report is not used.
 	MaxReportAge time.Duration
+	// MergeProvisional takes the marks of a report that are not yet in the
+	// table.
+	MergeProvisional func([]api.ProvisionalOut)
 	// Seed seeds the choice of upstreams.
 	Seed uint64
 	// Scheduler is the settings of the scheduler.
@@ -62,7 +67,9 @@
 	addresses map[string]string
 	pollers   map[string]context.CancelFunc
 	entries   int
+	hosts     []hosts.Host
 	index     *table.Index
+	choice    choice
 }
 
 // New returns a fleet view. Run must be called for it to see upstreams.
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -118,6 +118,7 @@
 	c.Report = r
 	c.ReceivedAt = now
 	c.SinceReport = 0
+	c.Suspect = false
 	return s.grants(svc, now)
 }
 
--- a/pkg/scheduler/sent.go
+++ b/pkg/scheduler/sent.go
@@ -42,6 +42,7 @@
 	}
 	if failed {
 		c.AvoidUntil = now.Add(s.cfg.AvoidAfterFailure)
+		c.Suspect = true
 	}
 	return s.grants(a.service, now)
 }
--- a/pkg/selection/candidate.go
+++ b/pkg/selection/candidate.go
@@ -24,6 +24,10 @@
 	Out bool
 	// AvoidUntil is until when the upstream is passed over after a failure.
 	AvoidUntil time.Time
+	// Suspect is true from a failed attempt until the next report, so that an
+	// upstream that can't be reached is not chosen on the strength of an old
+	// report.
+	Suspect bool
 }
 
 // Work is what a policy knows of a request.
@@ -69,7 +73,7 @@
 // usable reports whether the candidate takes any work.
 func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
 	r := &c.Report
-	if c.Out || r.Leaving || !r.Ready || now.Before(c.AvoidUntil) {
+	if c.Out || r.Leaving || !r.Ready || c.Suspect || now.Before(c.AvoidUntil) {
 		return false
 	}
 	return now.Sub(c.ReceivedAt) <= maxAge
