--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -50,16 +50,18 @@
 	agents := peer.NewAgentClient(s.PeerToken)
 	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout), s.Name)
 	view := fleet.New(fleet.Config{
-		Entry:            s.Name,
-		SubsetSize:       s.SubsetSize,
-		ReportInterval:   s.ReportInterval,
-		HostsInterval:    s.HostsInterval,
-		MaxReportAge:     s.MaxReportAge,
-		MergeProvisional: store.MergeProvisional,
-		Seed:             maphash.Comparable(maphash.MakeSeed(), s.Name),
+		Entry:               s.Name,
+		LinePerOrganisation: s.LinePerOrganisation,
+		SubsetSize:          s.SubsetSize,
+		ReportInterval:      s.ReportInterval,
+		HostsInterval:       s.HostsInterval,
+		MaxReportAge:        s.MaxReportAge,
+		MergeProvisional:    store.MergeProvisional,
+		Seed:                maphash.Comparable(maphash.MakeSeed(), s.Name),
 		Scheduler: scheduler.Config{
 			MaxWaiting:        s.MaxWaiting,
 			AvoidAfterFailure: s.AvoidAfter,
+			Horizon:           s.LineHorizon,
 		},
 	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
 	return entry.New(entry.Config{
--- a/pkg/fleet/poll.go
+++ b/pkg/fleet/poll.go
@@ -77,8 +77,8 @@
 	defer cancel()
 	f.mu.Lock()
 	address, index := f.addresses[name], f.index
+	req := &api.ReportRequest{Shares: f.scheduler.ShareRequest(f.cfg.Entry, name)}
 	f.mu.Unlock()
-	req := &api.ReportRequest{}
 	if index != nil && index.MarksNewer(known.MarksVersion, known.Provisional) {
 		marks := index.Marks()
 		req.Marks = &marks
