Keep the status of empty answers, and leave nothing out of joined ones

Cause: an engine's refusal without a body reached a streaming caller as an empty 200; an answer in one piece joined the texts of several choices and left out tool calls without a word. Ruled out: joining every kind of part, as engines add fields of their own. Change: the head is written with the end at the latest; an answer with more than the text of one choice is refused with the remedy to stream it. Conclusion: what can't be joined is said, not dropped.

--- a/pkg/entry/reply.go
+++ b/pkg/entry/reply.go
@@ -51,20 +51,26 @@
 
 // Data implements pipe.Reply.
 func (w *eventReply) Data(part []byte) error {
+	w.begin()
+	if w.status != http.StatusOK {
+		_, err := w.c.Response().Write(part)
+		return errors.WithStack(err)
+	}
+	return w.event("data", part)
+}
+
+// begin writes the head, if it isn't written yet.
+func (w *eventReply) begin() {
 	response := w.c.Response()
 	if !response.Committed {
 		response.Header().Set(echo.HeaderContentType, w.contentType)
 		response.WriteHeader(w.status)
 	}
-	if w.status != http.StatusOK {
-		_, err := response.Write(part)
-		return errors.WithStack(err)
-	}
-	return w.event("data", part)
 }
 
 // End implements pipe.Reply.
 func (w *eventReply) End() error {
+	w.begin()
 	if w.status != http.StatusOK {
 		return nil
 	}
@@ -107,13 +113,34 @@
 	Created int64  `json:"created"`
 	Model   string `json:"model"`
 	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
+		Index        int                        `json:"index"`
+		Delta        map[string]json.RawMessage `json:"delta"`
+		FinishReason string                     `json:"finish_reason"`
 	} `json:"choices"`
 }
 
+// Fields of the new part of a streamed answer.
+const (
+	deltaRole    = "role"
+	deltaContent = "content"
+)
+
+// errNotJoined is told when an answer has parts that can't be joined.
+const errNotJoined = "the answer has more than the text of one choice; ask for it with \"stream\": true"
+
+// text returns the text of a part. It reports false when the part has more than
+// text, which would be missing from an answer in one piece.
+func text(delta map[string]json.RawMessage) (content string, ok bool) {
+	for field, value := range delta {
+		switch {
+		case field == deltaRole || string(value) == "null":
+		case field != deltaContent || json.Unmarshal(value, &content) != nil:
+			return "", false
+		}
+	}
+	return content, true
+}
+
 // message is the answer of a model.
 type message struct {
 	Role    string `json:"role"`
@@ -166,8 +193,12 @@
 		return problem.New(problem.ReasonUpstreamFailed, "the engine sent an event that is not JSON")
 	}
 	for _, choice := range w.last.Choices {
-		w.content.WriteString(choice.Delta.Content)
-		if choice.Delta.Content != "" {
+		content, ok := text(choice.Delta)
+		if !ok || choice.Index != 0 {
+			return problem.New(problem.ReasonUpstreamFailed, errNotJoined)
+		}
+		w.content.WriteString(content)
+		if content != "" {
 			w.tokens++
 		}
 		if choice.FinishReason != "" {
