--- a/pkg/entry/reply_test.go
+++ b/pkg/entry/reply_test.go
@@ -50,11 +50,11 @@
 func TestAnswerInOnePieceLeavesNothingOut(t *testing.T) {
 	for part, want := range map[string]bool{
 		`{"choices":[{"index":0,"delta":{"role":"assistant","content":"a","refusal":null}}]}`: true,
-		`{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":null}`:             true,
+		`{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}],"usage":null}`:            true,
 		`{"choices":[{"index":1,"delta":{"content":"b"}}]}`:                                   false,
 		`{"choices":[{"index":0,"delta":{"tool_calls":[{"index":0}]}}]}`:                      false,
 		`{"choices":[{"index":0,"delta":{"content":7}}]}`:                                     false,
-		`{`:                                                                                   false,
+		`{`: false,
 	} {
 		w := newWholeReply(nil)
 		_ = w.Head(http.StatusOK, "text/event-stream")
