--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -85,6 +85,7 @@
 			Incarnation:   incarnation,
 			Started:       time.Now(),
 			ClockError:    cfg.ClockError,
+			RequireMarks:  true,
 			Warmup:        cfg.Warmup,
 		}),
 		runs: make(map[string]*run),
