Forget upstreams that left, and hold a mark before the first grant

Ruled out: forgetting by the age of the report, since an upstream that is cut off for a while must keep the count of its running attempts. Change: an upstream that leaves the host list is removed once its attempts have ended; the scheduler applies the marks to each report; a grant carries its address from the moment it is made.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -63,7 +63,7 @@
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
-	waiting   map[string]chan scheduler.Grant
+	waiting   map[string]chan answer
 	addresses map[string]string
 	pollers   map[string]context.CancelFunc
 	entries   int
@@ -86,7 +86,7 @@
 		agents:    agents,
 		log:       logging.For("fleet"),
 		scheduler: scheduler.New(cfg.Scheduler, policy),
-		waiting:   make(map[string]chan scheduler.Grant),
+		waiting:   make(map[string]chan answer),
 		addresses: make(map[string]string),
 		pollers:   make(map[string]context.CancelFunc),
 		services:  make(map[string]string),
@@ -132,14 +132,14 @@
 
 // Acquire waits for an upstream for a request.
 func (f *Fleet) Acquire(ctx context.Context, r scheduler.Request) (Upstream, error) {
-	granted := make(chan scheduler.Grant, 1)
+	granted := make(chan answer, 1)
 	f.mu.Lock()
 	f.waiting[r.ID] = granted
 	f.deliver(f.scheduler.Arrive(r, time.Now()))
 	f.mu.Unlock()
 	select {
-	case g := <-granted:
-		return f.upstream(g)
+	case a := <-granted:
+		return a.upstream, a.err
 	case <-ctx.Done():
 	}
 	f.mu.Lock()
@@ -147,8 +147,8 @@
 	delete(f.waiting, r.ID)
 	f.mu.Unlock()
 	select {
-	case g := <-granted:
-		return f.upstream(g)
+	case a := <-granted:
+		return a.upstream, a.err
 	default:
 		return Upstream{}, problem.New(problem.ReasonDeadlineExceeded, "")
 	}
@@ -174,9 +174,6 @@
 	defer f.mu.Unlock()
 	f.services[r.Upstream] = r.Service
 	f.deliver(f.scheduler.Report(r, time.Now()))
-	if f.index != nil && f.index.Out(r.Upstream, r.FailureDomain) {
-		f.deliver(f.scheduler.SetOut(f.index.Out, time.Now()))
-	}
 }
 
 // Attain corrects an organisation's share after a request.
@@ -193,19 +190,30 @@
 	return f.scheduler.Candidates(service)
 }
 
-func (f *Fleet) upstream(g scheduler.Grant) (Upstream, error) {
+// answer is what a waiting request gets.
+type answer struct {
+	upstream Upstream
+	err      error
+}
+
+// answer turns a grant into what the waiting request gets. The caller holds the
+// lock.
+func (f *Fleet) answer(g scheduler.Grant) answer {
 	if g.Refusal != nil {
-		return Upstream{}, g.Refusal
+		return answer{err: g.Refusal}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return Upstream{Report: g.Upstream, Address: f.addresses[g.Upstream.Upstream], Entry: f.cfg.Entry, Virtual: g.Virtual}, nil
+	return answer{upstream: Upstream{
+		Report:  g.Upstream,
+		Address: f.addresses[g.Upstream.Upstream],
+		Entry:   f.cfg.Entry,
+		Virtual: g.Virtual,
+	}}
 }
 
 // deliver hands grants to the waiting requests. The caller holds the lock.
 func (f *Fleet) deliver(grants []scheduler.Grant) {
 	for _, g := range grants {
-		f.waiting[g.ID] <- g
+		f.waiting[g.ID] <- f.answer(g)
 		delete(f.waiting, g.ID)
 	}
 }
--- a/pkg/fleet/poll.go
+++ b/pkg/fleet/poll.go
@@ -41,11 +41,20 @@
 	for name, stop := range f.pollers {
 		if !current[name] {
 			stop()
-			delete(f.pollers, name)
+			f.forget(name)
 		}
 	}
 }
 
+// forget removes what is known of an upstream that has left the host list. The
+// caller holds the lock.
+func (f *Fleet) forget(name string) {
+	delete(f.pollers, name)
+	delete(f.addresses, name)
+	delete(f.services, name)
+	f.scheduler.Forget(name)
+}
+
 func (f *Fleet) startPoller(ctx context.Context, name string) {
 	if _, ok := f.pollers[name]; ok {
 		return
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	services map[string]*service
 	upstream map[string]*service
 	sent     map[string]*sent
+	out      func(upstream, domain string) bool
 }
 
 // service is the queue and the upstreams of one service.
@@ -76,6 +77,7 @@
 		services: make(map[string]*service),
 		upstream: make(map[string]*service),
 		sent:     make(map[string]*sent),
+		out:      func(string, string) bool { return false },
 	}
 }
 
@@ -119,6 +121,8 @@
 	c.ReceivedAt = now
 	c.SinceReport = 0
 	c.Suspect = false
+	c.Gone = false
+	c.Out = s.out(r.Upstream, r.FailureDomain)
 	return s.grants(svc, now)
 }
 
@@ -130,6 +134,7 @@
 
 // SetOut takes the marks of a new table version.
 func (s *Scheduler) SetOut(out func(upstream, domain string) bool, now time.Time) []Grant {
+	s.out = out
 	var grants []Grant
 	for _, svc := range s.services {
 		for i := range svc.candidates {
--- a/pkg/scheduler/sent.go
+++ b/pkg/scheduler/sent.go
@@ -44,6 +44,7 @@
 		c.AvoidUntil = now.Add(s.cfg.AvoidAfterFailure)
 		c.Suspect = true
 	}
+	s.removeGone(a.service, c)
 	return s.grants(a.service, now)
 }
 
--- a/pkg/selection/candidate.go
+++ b/pkg/selection/candidate.go
@@ -28,6 +28,8 @@
 	// upstream that can't be reached is not chosen on the strength of an old
 	// report.
 	Suspect bool
+	// Gone is true once the upstream has left the host list.
+	Gone bool
 }
 
 // Work is what a policy knows of a request.
@@ -73,7 +75,7 @@
 // usable reports whether the candidate takes any work.
 func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
 	r := &c.Report
-	if c.Out || r.Leaving || !r.Ready || c.Suspect || now.Before(c.AvoidUntil) {
+	if c.Out || c.Gone || r.Leaving || !r.Ready || c.Suspect || now.Before(c.AvoidUntil) {
 		return false
 	}
 	return now.Sub(c.ReceivedAt) <= maxAge
