Run a partly relayed answer again when another upstream gives the same part

Ruled out: joining parts of two runs, which may not belong together; and holding streams back, which costs the first token. Change: the verifier remembers how many frames the caller has and their checksum. Another run has to begin with the same bytes; they are not relayed twice, and what follows is. If they differ, the answer is broken off as before. The test with the same answer fails without the change; the one with another answer still breaks off. Limit: an engine that repeats itself byte for byte for the same request is needed. One that stamps events with its time, or samples without a seed, gets the old behaviour. Conclusion: safe with any engine, useful with those that repeat themselves.

--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -115,10 +115,7 @@
 func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
 	j.attempts++
 	j.refusal = nil
-	if !j.state.Relayed {
-		j.verifier = stream.NewVerifier(j.request.ID)
-		j.request.Reply.Restart()
-	}
+	j.begin()
 	failed := true
 	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
 	event, err := j.send(ctx, u)
@@ -152,6 +149,17 @@
 	}
 }
 
+// begin prepares for an answer that begins at its first frame. What the caller
+// already has is not relayed again.
+func (j *job) begin() {
+	if j.state.Relayed {
+		j.verifier.Rerun()
+		return
+	}
+	j.verifier = stream.NewVerifier(j.request.ID)
+	j.request.Reply.Restart()
+}
+
 // send sends the attempt and relays its answer.
 func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	r := j.request
@@ -254,6 +262,9 @@
 	if !j.state.MaybeRan {
 		return err
 	}
+	if j.state.Relayed {
+		return j.problem(retry.BreakOff)
+	}
 	return j.problem(retry.RefuseUnknown)
 }
 
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -11,6 +11,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/retry"
+	"github.com/acaciaglade/acaciaglade/pkg/stream"
 )
 
 // relay passes the frames of an answer on to the caller. It returns an error
@@ -24,6 +25,9 @@
 		}
 		silence.Reset(j.silence())
 		fresh, err := j.verifier.Accept(&f)
+		if errors.Is(err, stream.ErrDiffers) {
+			return retry.Differs, nil
+		}
 		if err != nil {
 			return retry.Silent, nil
 		}
--- a/pkg/filter/attempt/restart_test.go
+++ b/pkg/filter/attempt/restart_test.go
@@ -78,20 +78,22 @@
 	return s.URL
 }
 
-// An idempotent answer that breaks off is run again elsewhere as long as none
-// of it has reached the caller.
+// An idempotent answer that breaks off is run again elsewhere. Once a part of it
+// has reached the caller, the new answer must begin with that part.
 func TestBrokenAnswerRestarts(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
 		relays  bool
+		first   string
 		reason  problem.Reason
 		wantGot string
 	}{
-		{"held back", false, "", "one two"},
-		{"relayed", true, problem.ReasonStreamBroken, "lost"},
+		{"held back", false, "lost", "", "one two"},
+		{"relayed, another answer", true, "lost", problem.ReasonStreamBroken, "lost"},
+		{"relayed, the same answer", true, "one ", "", "one two"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			agents := &agentsInTurn{addresses: []string{newAgent(t, false, "lost"), newAgent(t, true, "one ", "two")}}
+			agents := &agentsInTurn{addresses: []string{newAgent(t, false, tc.first), newAgent(t, true, "one ", "two")}}
 			h := New(Config{Silence: 5 * time.Second, AskTimeout: time.Second, RetryRatio: 0.1, RetryBurst: 10},
 				agents, peer.NewAgentClient("token"), prometheus.NewRegistry())
 			reply := &heldReply{relays: tc.relays}
--- a/pkg/retry/names.go
+++ b/pkg/retry/names.go
@@ -13,6 +13,8 @@
 		return "the attempt runs or has finished"
 	case Unknown:
 		return "it is unknown whether the attempt ran"
+	case Differs:
+		return "another run gave another answer"
 	case Complete:
 		return "the whole answer was relayed"
 	default:
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -4,7 +4,8 @@
 // Only the word of the agent, or the entry's knowledge that no byte of the
 // attempt was sent, makes an attempt "not run". Work that is not idempotent is
 // retried after a true "not run" alone. Idempotent work is also retried after an
-// unknown outcome, as long as no part of an answer has reached the caller.
+// unknown outcome. Once a part of an answer has reached the caller, the next run
+// has to give the same part again, or the answer is broken off.
 package retry
 
 import (
@@ -30,6 +31,9 @@
 	Unknown
 	// Complete means that the whole answer was relayed.
 	Complete
+	// Differs means that another run of the request gave another answer than
+	// the part that was relayed.
+	Differs
 )
 
 // Action is what the entry does next.
@@ -75,7 +79,7 @@
 	switch event {
 	case Complete:
 		return Done
-	case Rejected:
+	case Rejected, Differs:
 		return r.refusal()
 	case Silent:
 		return r.silent(now)
@@ -106,14 +110,14 @@
 
 func (r *Request) unknown(budget *Budget, now time.Time) Action {
 	r.MaybeRan = true
-	if !r.Idempotent || r.Relayed {
+	if !r.Idempotent {
 		return r.refusal()
 	}
 	return r.again(budget, now)
 }
 
 func (r *Request) again(budget *Budget, now time.Time) Action {
-	if r.Relayed || !now.Before(r.Deadline) || !budget.Spend() {
+	if r.Relayed && !r.Idempotent || !now.Before(r.Deadline) || !budget.Spend() {
 		return r.refusal()
 	}
 	r.Resumes = 0
--- /dev/null
+++ b/pkg/stream/rerun_test.go
@@ -0,0 +1,53 @@
+package stream
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+)
+
+// A second and a third run relay only what the caller doesn't have, also when
+// the second breaks off before it has caught up.
+func TestRerun(t *testing.T) {
+	v := NewVerifier("r")
+	relayed := ""
+	run := func(parts ...string) error {
+		if _, err := v.Accept(&api.Frame{Kind: api.FrameHead, RequestID: "r"}); err != nil {
+			return err
+		}
+		for i, part := range parts {
+			fresh, err := v.Accept(&api.Frame{Kind: api.FrameData, RequestID: "r", Seq: i + 1, Data: []byte(part)})
+			if err != nil {
+				return err
+			}
+			if fresh {
+				relayed += part
+			}
+		}
+		return nil
+	}
+	for _, parts := range [][]string{{"a", "b", "c"}, {"a", "b"}, {"a", "b", "c", "d"}} {
+		if err := run(parts...); err != nil {
+			t.Fatal(err)
+		}
+		v.Rerun()
+	}
+	if relayed != "abcd" {
+		t.Errorf("relayed %q", relayed)
+	}
+	short := NewChecksum()
+	short.Add([]byte("a"))
+	if err := run("a"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := v.Accept(&api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeComplete, Count: 1, Checksum: short.Sum()})
+	if !errors.Is(err, ErrDiffers) {
+		t.Errorf("a shorter answer: %v", err)
+	}
+	v.Rerun()
+	if err := run("a", "x", "c", "d"); !errors.Is(err, ErrDiffers) {
+		t.Errorf("another answer: %v", err)
+	}
+}
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -16,6 +16,9 @@
 var (
 	ErrForeign  = errors.New("frame of another request; drop the connection and resume")
 	ErrGap      = errors.New("frame missing; drop the connection and resume")
+	// ErrDiffers means that a request that was run again got another answer than
+	// the part that its caller has.
+	ErrDiffers  = errors.New("the answer differs from the part that was relayed; break it off")
 	ErrMismatch = errors.New("count or checksum differs; treat the answer as incomplete")
 )
 
@@ -47,6 +50,10 @@
 	next      int
 	sum       *Checksum
 	headSeen  bool
+	// repeated is how many data frames of an earlier run the caller has, and
+	// repeatedSum their checksum.
+	repeated    int
+	repeatedSum string
 }
 
 // NewVerifier returns a verifier of a request's answer.
@@ -54,6 +61,15 @@
 	return &Verifier{requestID: requestID, next: 1, sum: NewChecksum()}
 }
 
+// Rerun prepares for an answer that begins anew after a part of it was relayed.
+// The frames of that part have to come again as they were, and are not new.
+func (v *Verifier) Rerun() {
+	if v.sum.Count() >= v.repeated {
+		v.repeated, v.repeatedSum = v.sum.Count(), v.sum.Sum()
+	}
+	v.next, v.sum = 1, NewChecksum()
+}
+
 // Next returns the number of the data frame that is due.
 func (v *Verifier) Next() int { return v.next }
 
@@ -85,13 +101,19 @@
 	}
 	v.next++
 	v.sum.Add(f.Data)
-	return true, nil
+	if f.Seq == v.repeated && v.sum.Sum() != v.repeatedSum {
+		return false, ErrDiffers
+	}
+	return f.Seq > v.repeated, nil
 }
 
 func (v *Verifier) final(f *api.Frame) error {
 	if f.Outcome != api.OutcomeComplete {
 		return nil
 	}
+	if f.Count < v.repeated {
+		return ErrDiffers
+	}
 	if f.Count != v.sum.Count() || f.Checksum != v.sum.Sum() || !v.headSeen {
 		return ErrMismatch
 	}
