--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -14,8 +14,8 @@
 
 // Errors of a broken stream. Their messages name the remedy.
 var (
-	ErrForeign  = errors.New("frame of another request; drop the connection and resume")
-	ErrGap      = errors.New("frame missing; drop the connection and resume")
+	ErrForeign = errors.New("frame of another request; drop the connection and resume")
+	ErrGap     = errors.New("frame missing; drop the connection and resume")
 	// ErrDiffers means that a request that was run again got another answer than
 	// the part that its caller has.
 	ErrDiffers  = errors.New("the answer differs from the part that was relayed; break it off")
