Hold ceilings globally by parts that entries lend each other

Cause: each entry had the ceiling divided by the entries for good, so an organisation at one entry got a quarter of it; and a request dearer than a full bucket paid only for the bucket, so the ceiling was passed for good.

Ruled out: a pool handed out by one home, because two sides of a cut have two homes and hand it out twice; one counter, because it costs a round trip.

--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -10,7 +10,6 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/entry"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
-	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
@@ -73,7 +72,7 @@
 		OperatorToken: s.OperatorToken,
 		MaxBodyBytes:  s.MaxBodyBytes,
 		Deadline:      deadline.Config{Default: s.DefaultDeadline, Max: s.MaxDeadline},
-		Ceiling:       ceiling.Config{Burst: s.CeilingBurst},
+		CeilingBurst:  s.CeilingBurst,
 		Attempt: attempt.Config{
 			Silence:    s.Silence,
 			AskTimeout: s.AskTimeout,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -44,9 +45,10 @@
 	OperatorToken string
 	// MaxBodyBytes is the largest body of a request.
 	MaxBodyBytes int64
-	// Deadline, Ceiling and Attempt are the settings of the filters.
+	// CeilingBurst is the time for which an unused ceiling can be saved up.
+	CeilingBurst time.Duration
+	// Deadline and Attempt are the settings of the filters.
 	Deadline deadline.Config
-	Ceiling  ceiling.Config
 	Attempt  attempt.Config
 }
 
@@ -56,6 +58,7 @@
 	store    *tablestore.Store
 	fleet    *fleet.Fleet
 	exchange *tablestore.Exchange
+	ceilings *ceilings
 	chain    pipe.Handler
 	api      *operator.API
 	registry *prometheus.Registry
@@ -66,19 +69,20 @@
 
 // New builds the filters of an entry.
 func New(cfg Config, store *tablestore.Store, f *fleet.Fleet, agents *peer.AgentClient, reg *prometheus.Registry) *Entry {
-	cfg.Ceiling.Entries = f.Entries
+	entries := peer.NewEntryClient(cfg.PeerToken)
 	e := &Entry{
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
-		exchange: tablestore.NewExchange(store, peer.NewEntryClient(cfg.PeerToken), f.Hosts),
+		exchange: tablestore.NewExchange(store, entries, f.Hosts),
+		ceilings: newCeilings(cfg.Name, cfg.CeilingBurst, entries, f.Hosts),
 		accounts: newAccounts(cfg.Name, agents, f.Hosts, reg),
 		registry: reg,
 		log:      logging.For("entry"),
 	}
 	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
-	e.chain = ceiling.New(e.chain, cfg.Ceiling)
+	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
 	e.chain = route.New(e.chain)
 	e.chain = authenticate.New(e.chain)
@@ -97,6 +101,7 @@
 	peers := s.Group("", peer.RequireToken(e.cfg.PeerToken))
 	e.store.RegisterPeer(peers)
 	e.accounts.registerPeer(peers)
+	e.ceilings.registerPeer(peers)
 	e.api.Register(s)
 	s.POST(route.PathChat, e.chat)
 	s.Any(route.PrefixServices+"*", e.plain)
@@ -140,5 +145,6 @@
 	go e.store.Watch(ctx)
 	go e.store.SettleProvisional(ctx)
 	go e.exchange.Run(ctx)
+	go e.ceilings.run(ctx)
 	e.fleet.Run(ctx)
 }
--- a/pkg/peer/entry_client.go
+++ b/pkg/peer/entry_client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
@@ -16,6 +17,7 @@
 const (
 	PathTableNews  = PathTable + "/news"
 	PathTablePages = PathTable + "/pages"
+	PathCeilings   = "/v1/ceilings"
 )
 
 // EntryClient calls other entries.
@@ -35,6 +37,14 @@
 	return &news, c.calls.call(ctx, c.calls.stream, address+PathTableNews, ask, &news)
 }
 
+// Ceilings asks an entry, as the home of organisations, for parts of their
+// ceilings.
+func (c *EntryClient) Ceilings(ctx context.Context, address string, q *ceiling.Question) (ceiling.Answer, error) {
+	var answer ceiling.Answer
+	err := c.calls.call(ctx, c.calls.stream, address+PathCeilings, q, &answer)
+	return answer, err
+}
+
 // Page reads a page of the table by its hash.
 func (c *EntryClient) Page(ctx context.Context, address, hash string) (table.Page, error) {
 	var p table.Page
