Edit the table while the demo's traffic runs

Cause: the demo showed a deployment whose table never changed, so a newcomer could not see a failure domain leave and return. Ruled out: a script of commands in the README, which nobody tests.

--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -3,10 +3,12 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -15,6 +17,7 @@
 
 	"github.com/acaciaglade/acaciaglade/lab/deploy"
 	"github.com/acaciaglade/acaciaglade/lab/load"
+	"github.com/acaciaglade/acaciaglade/pkg/server"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -50,13 +53,25 @@
 	}
 	defer d.Stop()
 	fmt.Printf("%d entries and %d upstreams are ready; sending traffic for %s\n", len(d.Entries), len(d.Agents), c.Duration)
+	edited := make(chan error, 1)
+	go func() { edited <- edit(ctx, d, filepath.Join(folder, "acaciaglade"), c.Duration) }()
 	results := c.traffic(ctx, d)
-	if c.Keep {
-		fmt.Printf("operators: acaciaglade status --entry %s --operator-token %s\n", d.Entries[0].URL(), deploy.OperatorToken)
-		fmt.Println("programs are in", filepath.Clean(folder))
-		select {}
+	if err := <-edited; err != nil {
+		return err
+	}
+	if err := print(results); err != nil {
+		return err
+	}
+	if !c.Keep {
+		return nil
 	}
-	return print(results)
+	fmt.Printf("\nthe operators' page: %s/operator/ (token %s)\n", d.Entries[0].URL(), deploy.OperatorToken)
+	fmt.Printf("the operators' commands: %s status --entry %s --operator-token %s\n", filepath.Join(folder, "acaciaglade"), d.Entries[0].URL(), deploy.OperatorToken)
+	fmt.Println("stop with Ctrl-C")
+	interrupted, stop := server.SignalContext()
+	defer stop()
+	<-interrupted.Done()
+	return nil
 }
 
 // organisations is the callers of the demo.
@@ -125,6 +140,9 @@
 		}
 	}
 	group.Wait()
+	slices.SortFunc(results, func(a, b load.Result) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Kind, b.Kind))
+	})
 	return results
 }
 
