--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -68,7 +69,7 @@
 	if body.MaxTokens < 0 {
 		return problem.New(problem.ReasonBadRequest, "max_tokens is negative")
 	}
-	streamed, err := withStream(r.Body)
+	streamed, err := engineBody(r.Body, &body)
 	if err != nil {
 		return problem.New(problem.ReasonBadRequest, errBody)
 	}
@@ -87,18 +88,38 @@
 	return float64(size/bytesPerToken + tokens)
 }
 
-// withStream returns the body with streaming asked for, as the engine's answers
-// are always read as a stream.
-func withStream(body []byte) ([]byte, error) {
+// engineBody returns the body for the engine. The fields that were read are set
+// to what was read, under their exact names alone, so that the engine can't read
+// another model or limit. Streaming is asked for, as the engine's answers are
+// always read as a stream.
+func engineBody(raw []byte, read *chatBody) ([]byte, error) {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if err := json.Unmarshal(raw, &fields); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	fields["stream"] = json.RawMessage("true")
-	raw, err := json.Marshal(fields)
-	return raw, errors.WithStack(err)
+	for name := range fields {
+		if slices.ContainsFunc(chatFields, func(field string) bool { return strings.EqualFold(name, field) }) {
+			delete(fields, name)
+		}
+	}
+	fields[fieldModel] = json.RawMessage(strconv.Quote(read.Model))
+	fields[fieldStream] = json.RawMessage("true")
+	if read.MaxTokens > 0 {
+		fields[fieldMaxTokens] = json.RawMessage(strconv.Itoa(read.MaxTokens))
+	}
+	body, err := json.Marshal(fields)
+	return body, errors.WithStack(err)
 }
 
+// Names of the fields that are read of a chat completion.
+const (
+	fieldModel     = "model"
+	fieldStream    = "stream"
+	fieldMaxTokens = "max_tokens"
+)
+
+var chatFields = []string{fieldModel, fieldStream, fieldMaxTokens}
+
 // plain resolves a call of a plain service: the first segment of the path names
 // the service, the rest is the path at the upstream.
 func plain(r *pipe.Request) *problem.Problem {
