Hold no failure against an upstream whose caller went away

Cause: an attempt whose caller closed the connection was released as failed, so that its upstream was passed over until its next report. Ruled out: a release without a verdict, as the scheduler needs one. Change: an end on the caller's side is no failure of the upstream. Conclusion: callers who go away cost no capacity.

--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -128,6 +128,8 @@
 			err = problem.New(problem.ReasonCallerGone, "")
 		}
 		if err != nil {
+			// The caller's end failed, not the upstream.
+			failed = false
 			j.abandon(u, j.attempts)
 			return retry.Done, err
 		}
