--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/ledger"
 	"github.com/acaciaglade/acaciaglade/pkg/marks"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/shares"
 	"github.com/acaciaglade/acaciaglade/pkg/warmup"
 )
 
@@ -31,6 +32,10 @@
 	// RequireMarks makes the gate admit nothing before it has marks, so that an
 	// agent that restarts in a failure domain that is out takes no work there.
 	RequireMarks bool
+	// Line is how many admitted attempts may wait for room.
+	Line int
+	// Reserved is how much of the limit only priority work may use.
+	Reserved int
 	// Warmup is the settings of the limit.
 	Warmup warmup.Config
 }
@@ -41,6 +46,9 @@
 	clock    steadyClock
 	ledger   *ledger.Ledger
 	limiter  *warmup.Limiter
+	shares   *shares.Counter
+	line     line
+	virtual  float64
 	marks    marks.Set
 	running  int
 	leaving  bool
@@ -52,13 +60,20 @@
 
 // New returns a gate that admits nothing until the upstream is ready.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, ledger: ledger.New(cfg.ClockError), limiter: warmup.New(cfg.Warmup)}
+	return &Gate{
+		cfg:     cfg,
+		ledger:  ledger.New(cfg.ClockError),
+		limiter: warmup.New(cfg.Warmup),
+		shares:  shares.NewCounter(),
+	}
 }
 
 // Decision is the answer to an attempt.
 type Decision struct {
 	// Admitted is true when the caller must run the attempt.
 	Admitted bool
+	// Queued is true when an admitted attempt must wait for its turn first.
+	Queued bool
 	// Attach is true when the request already runs or has finished, and the
 	// caller must relay its answer.
 	Attach bool
@@ -102,13 +117,18 @@
 		// A record of an earlier copy may have expired, so nothing is known.
 		return refuse(api.OutcomeUnknown, problem.ReasonDeadlineExceeded)
 	}
-	if reason, refused := g.refusal(attempt, now); refused {
+	if reason, refused := g.refusal(attempt, a.Priority, now); refused {
 		g.ledger.Reject(attempt, now)
 		return refuse(api.OutcomeNotRun, reason)
 	}
 	g.ledger.Admit(attempt, now)
-	g.running++
-	return Decision{Admitted: true}
+	g.shares.Add(a.Organisation, a.Entry, a.Weight, a.Cost, now)
+	if g.hasRoom(a.Priority) {
+		g.start(a.Virtual, a.Priority)
+		return Decision{Admitted: true}
+	}
+	g.line.add(a)
+	return Decision{Admitted: true, Queued: true}
 }
 
 // otherIncarnation returns what is known of an attempt that was meant for
@@ -122,14 +142,14 @@
 }
 
 // refusal reports whether a new attempt must be refused, and why.
-func (g *Gate) refusal(attempt ledger.Attempt, now time.Time) (problem.Reason, bool) {
+func (g *Gate) refusal(attempt ledger.Attempt, priority bool, now time.Time) (problem.Reason, bool) {
 	if !now.Before(attempt.Deadline) {
 		return problem.ReasonDeadlineExceeded, true
 	}
 	if reason, closed := g.closed(); closed {
 		return reason, true
 	}
-	return problem.ReasonNoRoom, g.running >= g.limiter.Limit()
+	return problem.ReasonNoRoom, !g.hasRoom(priority) && len(g.line) >= g.cfg.Line
 }
 
 // closed reports whether the upstream takes no new work at all.
@@ -162,7 +182,7 @@
 // Finish records the end of a dispatched attempt.
 func (g *Gate) Finish(id string, attempt int, e ledger.Ending) { g.ledger.Finish(id, attempt, e) }
 
-// Release gives back the room of an admitted attempt.
+// Release gives back the room of an attempt. Turns must be called next.
 func (g *Gate) Release() { g.running-- }
 
 // Withdraw answers a question about a request, and makes sure that a request
@@ -196,7 +216,7 @@
 // Leave closes the gate for good. Running attempts go on.
 func (g *Gate) Leave() { g.leaving = true }
 
-// Running returns the number of admitted attempts that have not been released.
+// Running returns the number of attempts that hold room.
 func (g *Gate) Running() int { return g.running }
 
 // Observe takes a sample of the upstream.
@@ -204,7 +224,8 @@
 	g.ready = true
 	g.step = s.Step
 	g.skew = skew
-	s.Running = g.running
+	// Reserved room can't be filled by other work, so it counts as used.
+	s.Running = g.running + g.reserved()
 	g.limiter.Observe(s, now)
 }
 
@@ -223,9 +244,12 @@
 		Incarnation:   g.cfg.Incarnation,
 		Sequence:      g.sequence,
 		Limit:         g.limiter.Limit(),
+		Reserved:      g.reserved(),
 		Running:       g.running,
+		Line:          len(g.line),
 		Leaving:       g.leaving,
 		Ready:         !closed,
+		Virtual:       g.virtual,
 		MarksVersion:  held.Version,
 		Provisional:   held.Provisional,
 		StepMillis:    float64(g.step) / float64(time.Millisecond),
--- a/pkg/agent/run.go
+++ b/pkg/agent/run.go
@@ -23,6 +23,10 @@
 	sum     *stream.Checksum
 	ended   bool
 	changed chan struct{}
+	// queued is true when the request was admitted to the line, and turn takes
+	// what becomes of it.
+	queued  bool
+	turn    chan turn
 	readers int
 	idleAt  time.Time
 }
@@ -35,6 +39,7 @@
 		cancel:     cancel,
 		sum:        stream.NewChecksum(),
 		changed:    make(chan struct{}),
+		turn:       make(chan turn, 1),
 		idleAt:     now,
 	}
 }
@@ -93,6 +98,13 @@
 	return r.frames[i:], r.ended, r.changed
 }
 
+// parts returns the number of data frames so far.
+func (r *run) parts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sum.Count()
+}
+
 // attach counts a reader, which detach takes back.
 func (r *run) attach() {
 	r.mu.Lock()
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -81,7 +81,7 @@
 		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Spent-r.Cost)
 	}()
 	for {
-		upstream, err := queue.Acquire(ctx, f.fleet, r)
+		upstream, err := j.acquire(ctx)
 		if err != nil {
 			return j.queueRefusal(err)
 		}
@@ -91,9 +91,24 @@
 			return err
 		}
 		f.retries.WithLabelValues(string(j.reason())).Inc()
+		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, -r.Cost)
 	}
 }
 
+// rerunWait is how long a caller that has a part of an answer waits for another
+// upstream before the answer is broken off.
+const rerunWait = time.Second
+
+// acquire waits for an upstream for the next attempt.
+func (j *job) acquire(ctx context.Context) (fleet.Upstream, error) {
+	if j.state.Relayed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, rerunWait)
+		defer cancel()
+	}
+	return queue.Acquire(ctx, j.fleet, j.request)
+}
+
 func (f *filter) next(state *retry.Request, event retry.EventKind) retry.Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -116,12 +131,9 @@
 func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
 	j.attempts++
 	j.refusal = nil
-	if !j.state.Relayed {
-		j.verifier = stream.NewVerifier(j.request.ID)
-		j.request.Reply.Restart()
-	}
+	j.begin()
 	failed := true
-	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
+	defer func() { j.fleet.Release(j.request.ID, failed) }()
 	event, err := j.send(ctx, u)
 	for {
 		if err == nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -155,6 +167,17 @@
 	}
 }
 
+// begin prepares for an answer that begins at its first frame. What the caller
+// already has is not relayed again.
+func (j *job) begin() {
+	if j.state.Relayed {
+		j.verifier.Rerun()
+		return
+	}
+	j.verifier = stream.NewVerifier(j.request.ID)
+	j.request.Reply.Restart()
+}
+
 // send sends the attempt and relays its answer.
 func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	r := j.request
@@ -167,6 +190,10 @@
 		Attempt:           j.attempts,
 		Incarnation:       u.Report.Incarnation,
 		Organisation:      r.Organisation.Name,
+		Weight:            r.Organisation.Weight,
+		Entry:             u.Entry,
+		Cost:              r.Cost,
+		Virtual:           u.Virtual,
 		Service:           r.Service.Name,
 		Model:             r.Service.Kind == table.KindModel,
 		Priority:          r.Organisation.Priority,
@@ -256,6 +283,9 @@
 	if !j.state.MaybeRan {
 		return err
 	}
+	if j.state.Relayed {
+		return j.problem(retry.BreakOff)
+	}
 	return j.problem(retry.RefuseUnknown)
 }
 
