--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -45,8 +45,10 @@
 	Table table.Table
 	// EngineArgs, AgentArgs and EntryArgs are added to the commands.
 	EngineArgs []string
-	AgentArgs  []string
-	EntryArgs  []string
+	// OrderArgs is added to the commands of order services.
+	OrderArgs []string
+	AgentArgs []string
+	EntryArgs []string
 }
 
 // Names of services in deployments.
@@ -60,6 +62,8 @@
 	Name    string
 	Address string
 	Domain  string
+	program string
+	args    []string
 	cmd     *exec.Cmd
 	done    chan struct{}
 }
@@ -155,7 +159,7 @@
 // addUpstream starts an upstream and its agent.
 func (d *Deployment) addUpstream(i int, service string, model bool) error {
 	name := fmt.Sprintf("%s-%d", service, i)
-	args := []string{"orders"}
+	args := append([]string{"orders"}, d.Shape.OrderArgs...)
 	if model {
 		args = append([]string{"engine"}, d.Shape.EngineArgs...)
 	}
@@ -227,8 +231,8 @@
 	if err := cmd.Start(); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p := &Process{Name: name, Address: address, Domain: domain, cmd: cmd, done: make(chan struct{})}
-	go p.reap(log)
+	p := &Process{Name: name, Address: address, Domain: domain, program: program, args: args, cmd: cmd, done: make(chan struct{})}
+	go reap(cmd, log, p.done)
 	d.processes = append(d.processes, p)
 	return p, nil
 }
--- a/lab/deploy/restart.go
+++ b/lab/deploy/restart.go
@@ -4,39 +4,32 @@
 	"context"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"syscall"
-
-	"github.com/pkg/errors"
 )
 
-// Restart kills a process without warning and starts it again with the same
-// arguments at the same address.
-func (d *Deployment) Restart(ctx context.Context, p *Process) error {
+// Kill ends a process without warning.
+func (d *Deployment) Kill(ctx context.Context, p *Process) error {
 	if err := p.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
-	if err := p.Wait(ctx); err != nil {
-		return err
-	}
-	log, err := os.OpenFile(filepath.Join(d.logs, p.Name+".log"), os.O_APPEND|os.O_WRONLY, 0o644)
+	return p.Wait(ctx)
+}
+
+// Restart starts a process that has ended again, with the same arguments at the
+// address that it had.
+func (d *Deployment) Restart(p *Process) error {
+	fresh, err := d.RunAt(p.Address, p.Name, p.Domain, p.program, p.args...)
 	if err != nil {
-		return errors.WithStack(err)
-	}
-	cmd := exec.Command(p.cmd.Path, p.cmd.Args[1:]...)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
-		return errors.WithStack(err)
+		return err
 	}
-	p.cmd, p.done = cmd, make(chan struct{})
-	go p.reap(log)
+	d.processes = d.processes[:len(d.processes)-1]
+	*p = *fresh
 	return nil
 }
 
 // reap closes the log once the process has ended.
-func (p *Process) reap(log *os.File) {
-	done := p.done
-	_ = p.cmd.Wait()
+func reap(cmd *exec.Cmd, log *os.File, done chan struct{}) {
+	_ = cmd.Wait()
 	log.Close()
 	close(done)
 }
--- a/lab/sessions/domain_test.go
+++ b/lab/sessions/domain_test.go
@@ -260,7 +260,10 @@
 	setFaults(t, d, objectapi.Faults{Down: true})
 	takeOut("the object API is down", 2, true)
 	r.Note("the mark outlives a restart of the entry that took it")
-	if err := d.Restart(t.Context(), d.Entries[2]); err != nil {
+	if err := d.Kill(t.Context(), d.Entries[2]); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Restart(d.Entries[2]); err != nil {
 		t.Fatal(err)
 	}
 	_, err := d.Operator(0).MarkFailureDomain(t.Context(), "fd-a", "in")
--- a/lab/sessions/table_test.go
+++ b/lab/sessions/table_test.go
@@ -112,7 +112,10 @@
 
 	r.Note("the object API goes down; entry-2 is killed and starts again")
 	setFaults(t, d, objectapi.Faults{Down: true})
-	if err := d.Restart(t.Context(), d.Entries[2]); err != nil {
+	if err := d.Kill(t.Context(), d.Entries[2]); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Restart(d.Entries[2]); err != nil {
 		t.Fatal(err)
 	}
 	before, err := d.Operator(0).Table(t.Context())
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/ledger"
 	"github.com/acaciaglade/acaciaglade/pkg/marks"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/shares"
 	"github.com/acaciaglade/acaciaglade/pkg/warmup"
 )
 
@@ -24,11 +25,17 @@
 	Service       string
 	// Incarnation is fresh at each start of the agent.
 	Incarnation string
+	// Started is when this incarnation started.
+	Started time.Time
 	// ClockError is the largest difference between two hosts' clocks.
 	ClockError time.Duration
 	// RequireMarks makes the gate admit nothing before it has marks, so that an
 	// agent that restarts in a failure domain that is out takes no work there.
 	RequireMarks bool
+	// Line is how many admitted attempts may wait for room.
+	Line int
+	// Reserved is how much of the limit only priority work may use.
+	Reserved int
 	// Warmup is the settings of the limit.
 	Warmup warmup.Config
 }
@@ -36,8 +43,12 @@
 // Gate is the admission state of one upstream.
 type Gate struct {
 	cfg      Config
+	clock    steadyClock
 	ledger   *ledger.Ledger
 	limiter  *warmup.Limiter
+	shares   *shares.Counter
+	line     line
+	virtual  float64
 	marks    marks.Set
 	running  int
 	leaving  bool
@@ -49,13 +60,20 @@
 
 // New returns a gate that admits nothing until the upstream is ready.
 func New(cfg Config) *Gate {
-	return &Gate{cfg: cfg, ledger: ledger.New(cfg.ClockError), limiter: warmup.New(cfg.Warmup)}
+	return &Gate{
+		cfg:     cfg,
+		ledger:  ledger.New(cfg.ClockError),
+		limiter: warmup.New(cfg.Warmup),
+		shares:  shares.NewCounter(),
+	}
 }
 
 // Decision is the answer to an attempt.
 type Decision struct {
 	// Admitted is true when the caller must run the attempt.
 	Admitted bool
+	// Queued is true when an admitted attempt must wait for its turn first.
+	Queued bool
 	// Attach is true when the request already runs or has finished, and the
 	// caller must relay its answer.
 	Attach bool
@@ -68,13 +86,25 @@
 	return Decision{Outcome: outcome, Refusal: &api.Refusal{Reason: string(reason)}}
 }
 
-// Admit decides on an attempt.
+// Endings of a dispatched attempt.
+const (
+	// Lost means that the upstream may have run the attempt.
+	Lost = ledger.Lost
+	// Answered means that the whole answer is known.
+	Answered = ledger.Answered
+	// NotSent means that no byte of the attempt was sent to the upstream.
+	NotSent = ledger.NotSent
+)
+
+// Admit decides on an attempt. An attempt that is refused can't be admitted
+// later, but a later attempt of the same request can.
 func (g *Gate) Admit(a *api.AttemptRequest, now time.Time) Decision {
+	now = g.clock.at(now)
 	if a.Incarnation != g.cfg.Incarnation {
-		return refuse(api.OutcomeNotRun, problem.ReasonWrongIncarnation)
+		return refuse(g.otherIncarnation(a), problem.ReasonWrongIncarnation)
 	}
-	deadline := time.UnixMilli(a.DeadlineUnixMilli)
-	switch g.ledger.State(a.RequestID) {
+	attempt := ledger.Attempt{RequestID: a.RequestID, Number: a.Attempt, Deadline: time.UnixMilli(a.DeadlineUnixMilli)}
+	switch g.ledger.State(attempt, a.Idempotent) {
 	case ledger.StateAbsent:
 	case ledger.StateWithdrawn:
 		return refuse(api.OutcomeNotRun, problem.ReasonWithdrawn)
@@ -83,20 +113,43 @@
 	default:
 		return Decision{Attach: true}
 	}
-	if !now.Before(deadline) {
-		return refuse(api.OutcomeNotRun, problem.ReasonDeadlineExceeded)
+	if !g.ledger.Remembers(attempt, now) {
+		// A record of an earlier copy may have expired, so nothing is known.
+		return refuse(api.OutcomeUnknown, problem.ReasonDeadlineExceeded)
 	}
-	if reason, closed := g.closed(); closed {
+	if reason, refused := g.refusal(attempt, a.Priority, now); refused {
+		g.ledger.Reject(attempt, now)
 		return refuse(api.OutcomeNotRun, reason)
 	}
-	if g.running >= g.limiter.Limit() {
-		return refuse(api.OutcomeNotRun, problem.ReasonNoRoom)
+	g.ledger.Admit(attempt, now)
+	g.shares.Add(a.Organisation, a.Entry, a.Weight, a.Cost, now)
+	if g.hasRoom(a.Priority) {
+		g.start(a.Virtual, a.Priority)
+		return Decision{Admitted: true}
 	}
-	if !g.ledger.Admit(a.RequestID, deadline, now) {
-		return refuse(api.OutcomeNotRun, problem.ReasonDeadlineExceeded)
+	g.line.add(a)
+	return Decision{Admitted: true, Queued: true}
+}
+
+// otherIncarnation returns what is known of an attempt that was meant for
+// another incarnation. A copy that was sent before this incarnation started may
+// have reached the earlier one; one sent afterwards can't have.
+func (g *Gate) otherIncarnation(a *api.AttemptRequest) api.Outcome {
+	if time.UnixMilli(a.SentUnixMilli).After(g.cfg.Started.Add(g.cfg.ClockError)) {
+		return api.OutcomeNotRun
+	}
+	return api.OutcomeUnknown
+}
+
+// refusal reports whether a new attempt must be refused, and why.
+func (g *Gate) refusal(attempt ledger.Attempt, priority bool, now time.Time) (problem.Reason, bool) {
+	if !now.Before(attempt.Deadline) {
+		return problem.ReasonDeadlineExceeded, true
+	}
+	if reason, closed := g.closed(); closed {
+		return reason, true
 	}
-	g.running++
-	return Decision{Admitted: true}
+	return problem.ReasonNoRoom, !g.hasRoom(priority) && len(g.line) >= g.cfg.Line
 }
 
 // closed reports whether the upstream takes no new work at all.
@@ -118,18 +171,18 @@
 // Dispatch is called right before an admitted attempt is sent to the upstream.
 // It reports false when the attempt must not be sent any more; the caller then
 // calls Release.
-func (g *Gate) Dispatch(id string, deadline, now time.Time) bool {
-	return g.ledger.Dispatch(id, deadline, now)
+func (g *Gate) Dispatch(id string, attempt int, now time.Time) bool {
+	return g.ledger.Dispatch(id, attempt, g.clock.at(now))
 }
 
 // Refuse ends an admitted attempt before dispatch. It reports whether the
-// request has certainly not run.
-func (g *Gate) Refuse(id string) bool { return g.ledger.Refuse(id) }
+// attempt has certainly not run.
+func (g *Gate) Refuse(id string, attempt int) bool { return g.ledger.Refuse(id, attempt) }
 
 // Finish records the end of a dispatched attempt.
-func (g *Gate) Finish(id string, known bool) { g.ledger.Finish(id, known) }
+func (g *Gate) Finish(id string, attempt int, e ledger.Ending) { g.ledger.Finish(id, attempt, e) }
 
-// Release gives back the room of an admitted attempt.
+// Release gives back the room of an attempt. Turns must be called next.
 func (g *Gate) Release() { g.running-- }
 
 // Withdraw answers a question about a request, and makes sure that a request
@@ -139,7 +192,8 @@
 	if w.Incarnation != g.cfg.Incarnation {
 		return api.OutcomeUnknown
 	}
-	return g.ledger.Withdraw(w.RequestID, time.UnixMilli(w.DeadlineUnixMilli), now).Outcome()
+	attempt := ledger.Attempt{RequestID: w.RequestID, Number: w.Attempt, Deadline: time.UnixMilli(w.DeadlineUnixMilli)}
+	return g.ledger.Withdraw(attempt, g.clock.at(now)).Outcome()
 }
 
 // SetMarks takes what is newer in marks and drops the rest. It reports whether the marks
@@ -162,7 +216,7 @@
 // Leave closes the gate for good. Running attempts go on.
 func (g *Gate) Leave() { g.leaving = true }
 
-// Running returns the number of admitted attempts that have not been released.
+// Running returns the number of attempts that hold room.
 func (g *Gate) Running() int { return g.running }
 
 // Observe takes a sample of the upstream.
@@ -170,7 +224,8 @@
 	g.ready = true
 	g.step = s.Step
 	g.skew = skew
-	s.Running = g.running
+	// Reserved room can't be filled by other work, so it counts as used.
+	s.Running = g.running + g.reserved()
 	g.limiter.Observe(s, now)
 }
 
@@ -189,9 +244,12 @@
 		Incarnation:   g.cfg.Incarnation,
 		Sequence:      g.sequence,
 		Limit:         g.limiter.Limit(),
+		Reserved:      g.reserved(),
 		Running:       g.running,
+		Line:          len(g.line),
 		Leaving:       g.leaving,
 		Ready:         !closed,
+		Virtual:       g.virtual,
 		MarksVersion:  held.Version,
 		Provisional:   held.Provisional,
 		StepMillis:    float64(g.step) / float64(time.Millisecond),
--- a/pkg/api/attempt.go
+++ b/pkg/api/attempt.go
@@ -2,6 +2,8 @@
 // operators. It holds no behaviour beyond small helpers on the messages.
 package api
 
+import "time"
+
 // HeaderPeerToken carries the shared secret of calls between the system's own
 // processes.
 const HeaderPeerToken = "X-Acaciaglade-Peer-Token"
@@ -16,6 +18,14 @@
 	Incarnation string `json:"incarnation"`
 	// Organisation is the name of the caller's organisation.
 	Organisation string `json:"organisation"`
+	// Weight is the organisation's weight.
+	Weight int `json:"weight,omitempty"`
+	// Entry is the name of the entry that sends the attempt.
+	Entry string `json:"entry,omitempty"`
+	// Cost is the expected cost in tokens.
+	Cost float64 `json:"cost,omitempty"`
+	// Virtual is the organisation's virtual time when the attempt was sent.
+	Virtual float64 `json:"virtual,omitempty"`
 	// Service is the name of the service that is called.
 	Service string `json:"service"`
 	// Model is true when the upstream is a model engine.
@@ -28,6 +38,8 @@
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 	// DeadlineUnixMilli is the caller's deadline in Unix milliseconds.
 	DeadlineUnixMilli int64 `json:"deadline_unix_milli"`
+	// SentUnixMilli is when the attempt was sent, in Unix milliseconds.
+	SentUnixMilli int64 `json:"sent_unix_milli"`
 	// Method and Path are those of the upstream's HTTP call.
 	Method string `json:"method"`
 	Path   string `json:"path"`
@@ -37,6 +49,26 @@
 	Body []byte `json:"body,omitempty"`
 }
 
+// MaxDeadlineAhead is the farthest deadline that an agent accepts. It bounds how
+// long a request is remembered.
+const MaxDeadlineAhead = 24 * time.Hour
+
+// validIdentity reports whether a request can be remembered.
+func validIdentity(id string, attempt int, deadlineUnixMilli int64, now time.Time) bool {
+	farthest := now.Add(MaxDeadlineAhead).UnixMilli()
+	return id != "" && attempt >= 1 && deadlineUnixMilli >= 0 && deadlineUnixMilli <= farthest
+}
+
+// Valid reports whether an agent can take the attempt.
+func (a *AttemptRequest) Valid(now time.Time) bool {
+	return validIdentity(a.RequestID, a.Attempt, a.DeadlineUnixMilli, now)
+}
+
+// Valid reports whether an agent can answer the question.
+func (w *WithdrawRequest) Valid(now time.Time) bool {
+	return validIdentity(w.RequestID, w.Attempt, w.DeadlineUnixMilli, now)
+}
+
 // Outcome says what is known about an attempt.
 type Outcome string
 
--- a/pkg/cli/operator.go
+++ b/pkg/cli/operator.go
@@ -195,6 +195,7 @@
 
 type statusCommand struct {
 	connection
+	Organisation string `long:"organisation" description:"Show the account of one organisation."`
 }
 
 // Execute implements flags.Commander.
@@ -206,5 +207,8 @@
 	if c.JSON {
 		return printJSON(s)
 	}
-	return printStatus(os.Stdout, s)
+	if err := printStatus(os.Stdout, s); err != nil {
+		return err
+	}
+	return c.showAccounts(os.Stdout, c.Organisation)
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -19,6 +18,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/authenticate"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/route"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/operator"
@@ -47,9 +47,10 @@
 	MaxBodyBytes int64
 	// LeaveDelay is how long the entry stays reachable after it began to leave.
 	LeaveDelay time.Duration
-	// Deadline, Ceiling and Attempt are the settings of the filters.
+	// CeilingBurst is the time for which an unused ceiling can be saved up.
+	CeilingBurst time.Duration
+	// Deadline and Attempt are the settings of the filters.
 	Deadline deadline.Config
-	Ceiling  ceiling.Config
 	Attempt  attempt.Config
 }
 
@@ -59,41 +60,34 @@
 	store    *tablestore.Store
 	fleet    *fleet.Fleet
 	exchange *tablestore.Exchange
+	ceilings *ceilings
 	chain    pipe.Handler
 	api      *operator.API
 	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	refusals *prometheus.CounterVec
+	accounts *accounts
 	stopping atomic.Bool
 	log      *logrus.Entry
 }
 
 // New builds the filters of an entry.
 func New(cfg Config, store *tablestore.Store, f *fleet.Fleet, agents *peer.AgentClient, reg *prometheus.Registry) *Entry {
-	cfg.Ceiling.Entries = f.Entries
 	entries := peer.NewEntryClient(cfg.PeerToken)
 	e := &Entry{
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
 		exchange: tablestore.NewExchange(store, entries, f.Hosts),
-		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f, entries, agents),
+		ceilings: newCeilings(cfg.Name, cfg.CeilingBurst, entries, f.Hosts),
+		accounts: newAccounts(cfg.Name, agents, f.Hosts, reg),
 		registry: reg,
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_requests_total",
-			Help: "Requests of callers, by organisation and result.",
-		}, []string{"organisation", "result"}),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_refusals_total",
-			Help: "Requests that were refused, by reason and whether they ran.",
-		}, []string{"reason", "ran"}),
-		log: logging.For("entry"),
+		log:      logging.For("entry"),
 	}
-	reg.MustRegister(e.requests, e.refusals)
+	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f, entries, agents)
 	store.RegisterMetrics(reg)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
-	e.chain = ceiling.New(e.chain, cfg.Ceiling)
+	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
+	e.chain = route.New(e.chain)
 	e.chain = authenticate.New(e.chain)
 	store.Subscribe(f.SetIndex)
 	return e
@@ -118,10 +112,13 @@
 	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.GET("/readyz", e.ready)
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
-	e.store.RegisterPeer(s.Group("", peer.RequireToken(e.cfg.PeerToken)))
+	peers := s.Group("", peer.RequireToken(e.cfg.PeerToken))
+	e.store.RegisterPeer(peers)
+	e.accounts.registerPeer(peers)
+	e.ceilings.registerPeer(peers)
 	e.api.Register(s)
-	s.POST("/v1/chat/completions", e.chat)
-	s.Any("/services/:service/*", e.plain)
+	s.POST(route.PathChat, e.chat)
+	s.Any(route.PrefixServices+"*", e.plain)
 }
 
 func (e *Entry) ready(c echo.Context) error {
@@ -134,20 +131,18 @@
 // serve runs a request through the filters and answers refusals.
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
-	r.Reply = reply
-	err := e.chain.Serve(c.Request().Context(), r)
-	organisation := ""
-	if r.Organisation != nil {
-		organisation = r.Organisation.Name
+	r.Reply, r.Decisions = reply, e.accounts.decisions
+	err := e.receive(c, r)
+	if err == nil {
+		err = e.chain.Serve(c.Request().Context(), r)
 	}
 	if err == nil {
-		e.requests.WithLabelValues(organisation, "complete").Inc()
+		e.accounts.ended(r, nil)
 		return nil
 	}
-	e.requests.WithLabelValues(organisation, "refused").Inc()
 	p := asProblem(err)
 	p.RequestID = r.ID
-	e.refusals.WithLabelValues(string(p.Reason), string(p.Ran)).Inc()
+	e.accounts.ended(r, p)
 	return reply.Refuse(p)
 }
 
@@ -159,41 +154,11 @@
 	return problem.New(problem.ReasonInternal, err.Error())
 }
 
-// newRequest reads what all requests have in common.
-func (e *Entry) newRequest(c echo.Context) (*pipe.Request, *problem.Problem) {
-	if e.stopping.Load() {
-		return nil, problem.New(problem.ReasonStopping, "")
-	}
-	ix := e.store.Index()
-	if ix == nil {
-		return nil, problem.New(problem.ReasonNotReady, "")
-	}
-	h := c.Request().Header
-	timeout, refusal := parseTimeout(h.Get(HeaderDeadline))
-	if refusal != nil {
-		return nil, refusal
-	}
-	body, refusal := readBody(c, e.cfg.MaxBodyBytes)
-	if refusal != nil {
-		return nil, refusal
-	}
-	return &pipe.Request{
-		ID:             uuid.NewString(),
-		Token:          pipe.BearerToken(h),
-		Index:          ix,
-		Method:         c.Request().Method,
-		ContentType:    h.Get(echo.HeaderContentType),
-		Body:           body,
-		IdempotencyKey: h.Get(HeaderIdempotencyKey),
-		Received:       time.Now(),
-		Timeout:        timeout,
-	}, nil
-}
-
 // Run follows the platform's store and the fleet until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
 	go e.store.Watch(ctx)
 	go e.store.SettleProvisional(ctx)
 	go e.exchange.Run(ctx)
+	go e.ceilings.run(ctx)
 	e.fleet.Run(ctx)
 }
--- a/pkg/entry/reply.go
+++ b/pkg/entry/reply.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/labstack/echo/v4"
@@ -34,7 +35,9 @@
 
 // refuse answers with a problem document before anything was written.
 func refuse(c echo.Context, p *problem.Problem) error {
-	setRetryAfter(c, p)
+	if p.RetryAfterSeconds > 0 {
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(p.RetryAfterSeconds))
+	}
 	return operator.WriteProblem(c, p)
 }
 
@@ -48,26 +51,38 @@
 
 // Data implements pipe.Reply.
 func (w *eventReply) Data(part []byte) error {
+	w.begin()
+	if w.status != http.StatusOK {
+		_, err := w.c.Response().Write(part)
+		return errors.WithStack(err)
+	}
+	return w.event("data", part)
+}
+
+// begin writes the head, if it isn't written yet.
+func (w *eventReply) begin() {
 	response := w.c.Response()
 	if !response.Committed {
 		response.Header().Set(echo.HeaderContentType, w.contentType)
 		response.WriteHeader(w.status)
 	}
-	if w.status != http.StatusOK {
-		_, err := response.Write(part)
-		return errors.WithStack(err)
-	}
-	return w.event("data", part)
 }
 
 // End implements pipe.Reply.
 func (w *eventReply) End() error {
+	w.begin()
 	if w.status != http.StatusOK {
 		return nil
 	}
 	return w.event("data", []byte("[DONE]"))
 }
 
+// Relayed implements pipe.Reply.
+func (w *eventReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply. Nothing is held back.
+func (w *eventReply) Restart() {}
+
 // Refuse implements committer. A stream that has begun ends with an error event
 // and without the end marker, so that it is not taken for a whole answer.
 func (w *eventReply) Refuse(p *problem.Problem) error {
@@ -98,13 +113,34 @@
 	Created int64  `json:"created"`
 	Model   string `json:"model"`
 	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
+		Index        int                        `json:"index"`
+		Delta        map[string]json.RawMessage `json:"delta"`
+		FinishReason string                     `json:"finish_reason"`
 	} `json:"choices"`
 }
 
+// Fields of the new part of a streamed answer.
+const (
+	deltaRole    = "role"
+	deltaContent = "content"
+)
+
+// errNotJoined is told when an answer has parts that can't be joined.
+const errNotJoined = "the answer has more than the text of one choice; ask for it with \"stream\": true"
+
+// text returns the text of a part. It reports false when the part has more than
+// text, which would be missing from an answer in one piece.
+func text(delta map[string]json.RawMessage) (content string, ok bool) {
+	for field, value := range delta {
+		switch {
+		case field == deltaRole || string(value) == "null":
+		case field != deltaContent || json.Unmarshal(value, &content) != nil:
+			return "", false
+		}
+	}
+	return content, true
+}
+
 // message is the answer of a model.
 type message struct {
 	Role    string `json:"role"`
@@ -157,8 +193,12 @@
 		return problem.New(problem.ReasonUpstreamFailed, "the engine sent an event that is not JSON")
 	}
 	for _, choice := range w.last.Choices {
-		w.content.WriteString(choice.Delta.Content)
-		if choice.Delta.Content != "" {
+		content, ok := text(choice.Delta)
+		if !ok || choice.Index != 0 {
+			return problem.New(problem.ReasonUpstreamFailed, errNotJoined)
+		}
+		w.content.WriteString(content)
+		if content != "" {
 			w.tokens++
 		}
 		if choice.FinishReason != "" {
@@ -183,6 +223,12 @@
 	})
 }
 
+// Relayed implements pipe.Reply.
+func (w *wholeReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply.
+func (w *wholeReply) Restart() { *w = wholeReply{c: w.c} }
+
 // Refuse implements committer.
 func (w *wholeReply) Refuse(p *problem.Problem) error { return refuse(w.c, p) }
 
@@ -204,6 +250,12 @@
 // End implements pipe.Reply.
 func (w *plainReply) End() error { return w.c.Blob(w.status, w.contentType, w.body) }
 
+// Relayed implements pipe.Reply.
+func (w *plainReply) Relayed() bool { return w.c.Response().Committed }
+
+// Restart implements pipe.Reply.
+func (w *plainReply) Restart() { *w = plainReply{c: w.c} }
+
 // Refuse implements committer.
 func (w *plainReply) Refuse(p *problem.Problem) error { return refuse(w.c, p) }
 
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -9,7 +9,9 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/retry"
+	"github.com/acaciaglade/acaciaglade/pkg/stream"
 )
 
 // relay passes the frames of an answer on to the caller. It returns an error
@@ -21,8 +23,11 @@
 		if err := decoder.Decode(&f); err != nil {
 			return retry.Silent, nil
 		}
-		silence.Reset(j.cfg.Silence)
+		silence.Reset(j.silence())
 		fresh, err := j.verifier.Accept(&f)
+		if errors.Is(err, stream.ErrDiffers) {
+			return retry.Differs, nil
+		}
 		if err != nil {
 			return retry.Silent, nil
 		}
@@ -43,11 +48,13 @@
 	r := j.request
 	switch f.Kind {
 	case api.FrameHead:
+		j.fleet.Started(r.ID)
 		return r.Reply.Head(f.Status, f.ContentType)
 	case api.FrameData:
-		j.state.Progress()
 		r.Spent++
-		return r.Reply.Data(f.Data)
+		err := r.Reply.Data(f.Data)
+		j.state.Progress(r.Reply.Relayed())
+		return err
 	default:
 		return nil
 	}
@@ -78,9 +85,22 @@
 	}
 }
 
+// askEvent is the event of an agent's answer to a question. An answer that is
+// complete at the agent has still to be read to its end.
+func (j *job) askEvent(o api.Outcome) retry.EventKind {
+	switch o {
+	case api.OutcomeComplete:
+		return retry.Running
+	case api.OutcomeNotRun:
+		j.refusal = &api.Refusal{Reason: string(problem.ReasonWithdrawn)}
+	}
+	return outcomeEvent(o)
+}
+
 // sendEvent tells an attempt that was never sent from one that may have been.
-func sendEvent(err error) retry.EventKind {
+func (j *job) sendEvent(err error) retry.EventKind {
 	if errors.Is(err, peer.ErrNotSent) {
+		j.refusal = &api.Refusal{Reason: string(problem.ReasonAgentUnreachable)}
 		return retry.NotRun
 	}
 	return retry.Silent
--- a/pkg/fleet/poll.go
+++ b/pkg/fleet/poll.go
@@ -22,11 +22,12 @@
 		f.log.WithError(err).Warn("host list not read")
 		return
 	}
+	taken := f.taken(list)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	entries := 0
 	current := make(map[string]bool, len(list))
-	for _, h := range list {
+	for _, h := range taken {
 		if h.Role == hosts.RoleEntry {
 			entries++
 			continue
@@ -40,11 +41,20 @@
 	for name, stop := range f.pollers {
 		if !current[name] {
 			stop()
-			delete(f.pollers, name)
+			f.forget(name)
 		}
 	}
 }
 
+// forget removes what is known of an upstream that has left the host list. The
+// caller holds the lock.
+func (f *Fleet) forget(name string) {
+	delete(f.pollers, name)
+	delete(f.addresses, name)
+	delete(f.services, name)
+	f.scheduler.Forget(name)
+}
+
 func (f *Fleet) startPoller(ctx context.Context, name string) {
 	if _, ok := f.pollers[name]; ok {
 		return
@@ -76,8 +86,8 @@
 	defer cancel()
 	f.mu.Lock()
 	address, index := f.addresses[name], f.index
+	req := &api.ReportRequest{Shares: f.scheduler.ShareRequest(f.cfg.Entry, name)}
 	f.mu.Unlock()
-	req := &api.ReportRequest{}
 	if index != nil && index.MarksNewer(known.MarksVersion, known.Provisional) {
 		marks := index.Marks()
 		req.Marks = &marks
