--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -157,9 +158,20 @@
 		})
 	}
 	_ = group.Wait()
+	a.forget(list)
 	return statuses
 }
 
+// forget drops what is known of hosts that are not in the host list, so that
+// the knowledge stays bounded while hosts are replaced.
+func (a *API) forget(list []hosts.Host) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.known, func(name string, _ knowledge) bool {
+		return !slices.ContainsFunc(list, func(h hosts.Host) bool { return h.Name == name })
+	})
+}
+
 // askHost asks one host. Of a host that does not answer, it returns what is
 // known from earlier.
 func (a *API) askHost(ctx context.Context, h hosts.Host) HostStatus {
