Let the agents of a group switch its maps, with real processes

Cause: the switch and planner were not wired to agents and ranks. A leaving member that waits for a front agent that is gone held a stop for 10 s; a front that refuses connections for 2 s counts.

A stopped rank's host drained its group first.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -51,6 +51,20 @@
 	return c.serve(s.Register)
 }
 
+type rankCommand struct {
+	listenFlag
+	engine.RankCommand
+}
+
+// Execute implements flags.Commander.
+func (c *rankCommand) Execute([]string) error {
+	register, err := c.Start()
+	if err != nil {
+		return err
+	}
+	return c.serve(register)
+}
+
 type ordersCommand struct {
 	listenFlag
 	Delay time.Duration `long:"delay" default:"20ms" description:"Time of one confirmation."`
@@ -86,6 +100,7 @@
 		data              any
 	}{
 		{"engine", "Run a stand-in of a model engine", &engineCommand{}},
+		{"rank", "Run a stand-in of one rank of a group", &rankCommand{}},
 		{"orders", "Run a stand-in of an order-handling service", &ordersCommand{}},
 		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -36,6 +36,13 @@
 	Entries        int
 	Models         int
 	Orders         int
+	// Ranks is the number of ranks of a group of the model service, each with an
+	// agent and a process of its own. 0 starts no group.
+	Ranks int
+	// RankArgs are added to the commands of ranks, MemberArgs to those of their
+	// agents.
+	RankArgs   []string
+	MemberArgs []string
 	// HostListLag is the lag of the host list.
 	HostListLag time.Duration
 	// Links puts a link between each entry and everything it calls, and between
@@ -89,6 +96,9 @@
 	Entries   []*Process
 	Agents    []*Process
 	Upstreams []*Process
+	// Ranks and Members are the processes of a group and of their agents.
+	Ranks   []*Process
+	Members []*Process
 
 	bin       string
 	logs      string
@@ -139,6 +149,9 @@
 			return err
 		}
 	}
+	if err := d.addGroup(); err != nil {
+		return err
+	}
 	for i := range d.Shape.Entries {
 		if err := d.addEntry(i); err != nil {
 			return err
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // Config is the settings of the stand-in.
@@ -29,6 +30,9 @@
 	ColdSteps int
 	// ColdFactor is how much slower a cold engine is.
 	ColdFactor float64
+	// Lockstep, if any, makes the ranks of a group enter each step. Its time is
+	// added to that of the step.
+	Lockstep *Lockstep
 }
 
 // Server is the stand-in.
@@ -51,6 +55,7 @@
 	next   int
 	length int
 	gone   bool
+	failed bool
 }
 
 // New returns a cold engine. Run must be called for it to step.
@@ -83,6 +88,10 @@
 		idle := len(s.running) == 0
 		d := s.stepTime()
 		s.mu.Unlock()
+		if s.cfg.Lockstep != nil {
+			s.lockstep(idle, d)
+			continue
+		}
 		if idle {
 			<-s.wake
 			continue
@@ -92,6 +101,44 @@
 	}
 }
 
+// idleStep is the time between two steps of an idle group, which show that its
+// ranks are alive.
+const idleStep = 50 * time.Millisecond
+
+// lockstep runs one step of a group.
+func (s *Server) lockstep(idle bool, constant time.Duration) {
+	begin := time.Now()
+	if idle {
+		select {
+		case <-s.wake:
+		case <-time.After(idleStep):
+		}
+		begin = time.Now()
+	}
+	switch s.cfg.Lockstep.run() {
+	case stepRan:
+		time.Sleep(constant)
+		s.step(time.Since(begin))
+	case stepHeld:
+		time.Sleep(retryStep)
+	case stepLost:
+		s.fail()
+		time.Sleep(retryStep)
+	}
+}
+
+// fail ends every running request without its end marker: what a lost rank kept
+// of it in memory is gone.
+func (s *Server) fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for q := range s.running {
+		q.failed = true
+		close(q.tokens)
+		delete(s.running, q)
+	}
+}
+
 // stepTime returns the time of the next step. The caller holds the lock.
 func (s *Server) stepTime() time.Duration {
 	d := s.cfg.Step + time.Duration(len(s.running))*s.cfg.StepPerRequest
@@ -129,11 +176,19 @@
 func (s *Server) load(c echo.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	skew := 1.0
+	if s.cfg.Lockstep != nil {
+		recent, works := s.cfg.Lockstep.state()
+		if !works {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		skew = recent
+	}
 	return c.JSON(http.StatusOK, load{
 		Incarnation: s.incarnation,
 		Cold:        s.steps < s.coldUntil && s.steps == 0,
 		StepMillis:  float64(s.lastStep) / float64(time.Millisecond),
-		Skew:        1,
+		Skew:        skew,
 		Running:     len(s.running),
 	})
 }
@@ -209,6 +264,9 @@
 	Choices []choice `json:"choices"`
 }
 
+// errRankLost ends a stream without its end marker.
+var errRankLost = errors.New("a rank was lost")
+
 func (s *Server) stream(c echo.Context, q *sequence, words []string) error {
 	c.Response().Header().Set(echo.HeaderContentType, "text/event-stream")
 	c.Response().WriteHeader(http.StatusOK)
@@ -216,6 +274,9 @@
 	for {
 		select {
 		case n, ok := <-q.tokens:
+			if !ok && q.failed {
+				return errRankLost
+			}
 			if !ok {
 				_, err := fmt.Fprint(c.Response(), "data: [DONE]\n\n")
 				return err
--- /dev/null
+++ b/lab/sessions/group_test.go
@@ -0,0 +1,337 @@
+package sessions
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/lab/demo"
+	"github.com/acaciaglade/acaciaglade/lab/deploy"
+	"github.com/acaciaglade/acaciaglade/lab/engine"
+	"github.com/acaciaglade/acaciaglade/lab/load"
+	"github.com/acaciaglade/acaciaglade/lab/session"
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap/mapswitch"
+	"github.com/acaciaglade/acaciaglade/pkg/group"
+)
+
+// groupShape is a group of four ranks whose agents plan often.
+func groupShape(rankArgs ...string) deploy.Shape {
+	return deploy.Shape{
+		Entries: 1, Ranks: 4,
+		RankArgs: append([]string{"--layers", "2", "--experts", "8", "--expert-slots", "4"}, rankArgs...),
+		MemberArgs: []string{
+			"--group-layers", "2", "--group-experts", "8", "--group-expert-slots", "4", "--plan-interval", "500ms", "--plan-rest", "500ms",
+			"--group-patience", "500ms", "--rank-order-timeout", "500ms", "--expert-bytes", "1e6", "--healthy-step", "10s",
+		},
+	}
+}
+
+// fetch reads a JSON document of a process.
+func fetch(t *testing.T, target string, out any) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(api.HeaderPeerToken, deploy.PeerToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	return errors.WithStack(json.NewDecoder(resp.Body).Decode(out))
+}
+
+// memberStatus reads what an agent says of its group.
+func memberStatus(t *testing.T, d *deploy.Deployment, rank int) (group.Status, error) {
+	t.Helper()
+	var s group.Status
+	err := fetch(t, d.Members[rank].URL()+group.PathStatus, &s)
+	return s, err
+}
+
+// shift gives every expert a new popularity.
+func shift(t *testing.T, d *deploy.Deployment) {
+	t.Helper()
+	resp, err := http.Post(d.Ranks[0].URL()+engine.PathShift, "", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
+// stepMaps reads which map each rank used in each step it entered since it
+// started.
+func stepMaps(t *testing.T, d *deploy.Deployment) []map[uint64]expertmap.Version {
+	t.Helper()
+	all := make([]map[uint64]expertmap.Version, len(d.Ranks))
+	for r, p := range d.Ranks {
+		var spans []engine.Span
+		if err := fetch(t, p.URL()+engine.PathJournal, &spans); err != nil {
+			t.Fatal(err)
+		}
+		all[r] = make(map[uint64]expertmap.Version)
+		for _, s := range spans {
+			for step := s.From; step <= s.To; step++ {
+				all[r][step] = s.Version
+			}
+		}
+	}
+	return all
+}
+
+// oneMap checks that no two ranks used different maps in one step, and returns
+// the maps that were used.
+func oneMap(t *testing.T, d *deploy.Deployment) map[expertmap.Version]bool {
+	t.Helper()
+	used := make(map[uint64]expertmap.Version)
+	versions := make(map[expertmap.Version]bool)
+	for r, steps := range stepMaps(t, d) {
+		for step, v := range steps {
+			if known, ok := used[step]; ok && known != v {
+				t.Errorf("step %d: rank %d used map %d, another rank map %d", step, r, v, known)
+			}
+			used[step] = v
+			versions[v] = true
+		}
+	}
+	return versions
+}
+
+// newVersion waits until every rank has a map above a version in force, and
+// returns it.
+func newVersion(t *testing.T, d *deploy.Deployment, above expertmap.Version) expertmap.Version {
+	t.Helper()
+	var version expertmap.Version
+	eventually(t, 20*time.Second, "a new map on every rank", func() error {
+		for r := range d.Ranks {
+			s, err := memberStatus(t, d, r)
+			if err != nil {
+				return err
+			}
+			if s.Switch.Rank.InForce == nil || s.Switch.Rank.InForce.Version <= above {
+				return errors.Errorf("rank %d: %+v", r, s.Switch)
+			}
+			version = s.Switch.Rank.InForce.Version
+		}
+		return nil
+	})
+	return version
+}
+
+// put sends a JSON value to a stand-in.
+func put(t *testing.T, target string, value any) {
+	t.Helper()
+	if err := deploy.Put(t.Context(), target, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// preparedOn waits until a rank holds a map without the decision, and returns its
+// version.
+func preparedOn(t *testing.T, d *deploy.Deployment, rank int) expertmap.Version {
+	t.Helper()
+	var version expertmap.Version
+	eventually(t, 20*time.Second, "a map prepared without the decision", func() error {
+		var s mapswitch.RankState
+		if err := fetch(t, d.Ranks[rank].URL()+engine.PathState, &s); err != nil {
+			return err
+		}
+		if s.Next == nil || s.Next.Committed {
+			return errors.New("nothing is prepared")
+		}
+		version = s.Next.Map.Version
+		return nil
+	})
+	return version
+}
+
+// traffic sends chat completions until the returned function is called.
+func traffic(t *testing.T, d *deploy.Deployment) func() load.Result {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	var result load.Result
+	wait.Go(func() {
+		result = load.Run(ctx, load.Config{
+			Entries: []string{d.Entries[0].URL()}, Organisation: "crateburst", Token: demo.Token("crateburst"),
+			Kind: load.Chat, PerSecond: 20, Tokens: 12, Model: deploy.ModelService,
+		})
+	})
+	return func() load.Result {
+		cancel()
+		wait.Wait()
+		return result
+	}
+}
+
+// whole reports whether every answer of the traffic was whole.
+func whole(t *testing.T, r load.Result) bool {
+	t.Helper()
+	t.Logf("sent %d, complete %d, tokens %d, refused: %s", r.Sent, r.Complete, r.Tokens, r.RefusedText())
+	return r.Sent > 0 && r.Complete == r.Sent && r.Tokens == 12*r.Sent
+}
+
+func signal(t *testing.T, p *deploy.Process, s syscall.Signal) {
+	t.Helper()
+	if err := p.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestMapSwitchUnderTraffic(t *testing.T) {
+	for name, args := range map[string][2][]string{
+		"engine checks fencing":  {{"--checks-fencing", "--load-time", "300ms"}, {"--rank-checks-fencing"}},
+		"engine ignores fencing": {{"--load-time", "300ms"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) { mapSwitch(t, args[0], args[1]) })
+	}
+}
+
+func mapSwitch(t *testing.T, rankArgs, memberArgs []string) {
+	shape := groupShape(rankArgs...)
+	shape.MemberArgs = append(shape.MemberArgs, memberArgs...)
+	d := start(t, shape)
+	r := &session.Recorder{}
+	stop := traffic(t, d)
+
+	r.Note("the planner replaces the even map")
+	first := newVersion(t, d, 0)
+	second := newVersion(t, d, first)
+	r.Line("a new map is in force on all ranks")
+
+	r.Note("the popularity shifts, and the coordinator is killed between prepare and commit")
+	put(t, d.Ranks[1].URL()+engine.PathStall, mapswitch.OrderPrepare)
+	shift(t, d)
+	aborted := preparedOn(t, d, 2)
+	if err := d.Kill(t.Context(), d.Members[3]); err != nil {
+		t.Fatal(err)
+	}
+	put(t, d.Ranks[1].URL()+engine.PathStall, "")
+	if err := d.Restart(d.Members[3]); err != nil {
+		t.Fatal(err)
+	}
+	third := newVersion(t, d, max(second, aborted))
+	r.Line("the prepared map was aborted, and another one is in force on all ranks")
+
+	r.Note("a rank is frozen for a second while the popularity shifts")
+	shift(t, d)
+	signal(t, d.Ranks[2], syscall.SIGSTOP)
+	<-time.After(time.Second)
+	signal(t, d.Ranks[2], syscall.SIGCONT)
+	newVersion(t, d, third)
+	r.Line("a new map is in force on all ranks")
+
+	result := stop()
+	r.Note("the callers")
+	r.Line("every answer whole: %t", whole(t, result))
+	r.Note("the maps of the steps")
+	used := oneMap(t, d)
+	r.Line("at least 4 maps used: %t", len(used) >= 4)
+	r.Line("the aborted map was used: %t", used[aborted])
+	r.Line("one map in every step: %t", !t.Failed())
+	golden(t, r)
+}
+
+func TestLeavingRankDrainsItsGroup(t *testing.T) {
+	shape := groupShape()
+	shape.Models = 1
+	d := start(t, shape)
+	newVersion(t, d, 0)
+	r := &session.Recorder{}
+	stop := traffic(t, d)
+	untilRunning(t, d)
+
+	r.Note("the host of rank 2 is stopped")
+	signal(t, d.Members[2], syscall.SIGTERM)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := d.Members[2].Wait(ctx); err != nil {
+		t.Fatal(err)
+	}
+	r.Line("requests that the group runs when the rank's agent ends: %d", running(t, d))
+	if err := d.Kill(ctx, d.Ranks[2]); err != nil {
+		t.Fatal(err)
+	}
+	r.Note("it comes back")
+	if err := d.Restart(d.Ranks[2]); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Restart(d.Members[2]); err != nil {
+		t.Fatal(err)
+	}
+	untilRunning(t, d)
+	r.Line("the group runs requests again")
+	r.Note("the callers")
+	r.Line("every answer whole: %t", whole(t, stop()))
+	oneMap(t, d)
+	golden(t, r)
+}
+
+// running returns the number of requests that the group's front agent runs.
+func running(t *testing.T, d *deploy.Deployment) int {
+	t.Helper()
+	s, err := d.Operator(0).Status(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range s.Upstreams {
+		if u.Upstream == d.Members[0].Name {
+			return u.Running
+		}
+	}
+	return 0
+}
+
+// untilRunning waits until the group runs a request.
+func untilRunning(t *testing.T, d *deploy.Deployment) {
+	t.Helper()
+	eventually(t, 20*time.Second, "the group runs requests", func() error {
+		if running(t, d) == 0 {
+			return errors.New("none")
+		}
+		return nil
+	})
+}
+
+func TestKilledRankFailsStreamsTruthfully(t *testing.T) {
+	d := start(t, groupShape())
+	newVersion(t, d, 0)
+	r := &session.Recorder{}
+	stop := traffic(t, d)
+	untilRunning(t, d)
+	r.Note("rank 2 is killed and started again")
+	if err := d.Kill(t.Context(), d.Ranks[2]); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.Restart(d.Ranks[2]); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 20*time.Second, "the rank takes its map from its group", func() error {
+		s, err := memberStatus(t, d, 2)
+		if err != nil {
+			return err
+		}
+		if s.Switch.Rank.InForce == nil || s.Switch.Rank.NextStep == 0 {
+			return errors.New("no map or no step yet")
+		}
+		return nil
+	})
+	r.Line("the rank has a map and enters steps")
+	result := stop()
+	t.Logf("sent %d, complete %d, refused: %s", result.Sent, result.Complete, result.RefusedText())
+	r.Note("the callers")
+	r.Line("answers that ended short without a reason: %d", result.Broken)
+	oneMap(t, d)
+	golden(t, r)
+}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/admission"
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/claim"
+	"github.com/acaciaglade/acaciaglade/pkg/group"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -47,6 +48,8 @@
 	SampleInterval time.Duration
 	// Warmup is the settings of the admission limit.
 	Warmup warmup.Config
+	// Group is the settings of the upstream's group of ranks, nil when it is none.
+	Group *group.Config
 }
 
 // Agent serves the attempts of entries.
@@ -62,13 +65,14 @@
 	gate *admission.Gate
 	runs map[string]*run
 
-	work sync.WaitGroup
+	work  sync.WaitGroup
+	group *group.Group
 }
 
 // New returns an agent. Run must be called for it to admit work.
 func New(cfg Config, store objects.Store, reg prometheus.Registerer) *Agent {
 	incarnation := uuid.NewString()
-	return &Agent{
+	a := &Agent{
 		cfg:         cfg,
 		incarnation: incarnation,
 		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
@@ -86,10 +90,15 @@
 		}),
 		runs: make(map[string]*run),
 	}
+	a.group = a.newGroup(cfg.Group)
+	return a
 }
 
 // Run samples the upstream and cleans up until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
+	if a.group != nil {
+		go a.group.Run(ctx)
+	}
 	ticker := time.NewTicker(a.cfg.SampleInterval)
 	defer ticker.Stop()
 	for {
@@ -117,7 +126,7 @@
 	}()
 	select {
 	case <-done:
-		return nil
+		return a.leaveGroup(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -128,9 +137,10 @@
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.SampleInterval)
 	defer cancel()
 	load, err := a.upstream.load(ctx)
+	closed := a.groupClosed()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err != nil {
+	if err != nil || closed {
 		a.gate.Unreachable()
 		return
 	}
--- a/pkg/agent/http.go
+++ b/pkg/agent/http.go
@@ -20,6 +20,9 @@
 	g.DELETE(peer.PathAttempts+"/:id", a.handleCancel)
 	g.POST(peer.PathWithdraw, a.handleWithdraw)
 	g.POST(peer.PathReport, a.handleReport)
+	if a.group != nil {
+		a.group.Register(g)
+	}
 }
 
 func (a *Agent) handleAttempt(c echo.Context) error {
--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -61,6 +61,7 @@
 		Heartbeat:      s.Heartbeat,
 		Orphan:         s.Orphan,
 		SampleInterval: s.SampleInterval,
+		Group:          groupConfig(s),
 		Warmup: warmup.Config{
 			Min:         s.MinRoom,
 			Max:         s.MaxRoom,
--- /dev/null
+++ b/pkg/cli/group.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap/plan"
+	"github.com/acaciaglade/acaciaglade/pkg/group"
+	"github.com/acaciaglade/acaciaglade/pkg/settings"
+)
+
+// Settings of the planner that have no flag.
+const (
+	loadSlowdown    = 0.05
+	stepsLost       = 2
+	planHysteresis  = 1.75
+	urgentSkew      = 0.1
+	noiseDeviations = 2
+	budgetBurst     = 2 * time.Minute // at the rate of loading
+)
+
+// groupConfig returns the settings of the agent's group, nil when it has none.
+func groupConfig(s *settings.Agent) *group.Config {
+	g := &s.Group
+	if len(g.Members) == 0 {
+		return nil
+	}
+	return &group.Config{
+		Rank: g.Rank, Members: g.Members, RankURL: s.UpstreamURL, PeerToken: s.PeerToken, ChecksFencing: g.ChecksFencing,
+		Interval: g.Interval, Patience: g.Patience, OrderTimeout: g.OrderTimeout, LoadTimeout: g.LoadTimeout,
+		HoldMargin: g.HoldMargin, PlanInterval: g.PlanInterval,
+		Planner: plan.Config{
+			Size: g.Size(), ExpertBytes: g.ExpertBytes, LoadBytesPerSecond: g.LoadBytes,
+			LoadSlowdown: loadSlowdown, StepsLost: stepsLost, Horizon: g.PlanHorizon, Hysteresis: planHysteresis,
+			UrgentSkew: urgentSkew, MinInterval: g.PlanRest, NoiseDeviations: noiseDeviations,
+			BudgetBytesPerSecond: g.BudgetBytes, BudgetBurstBytes: budgetBurst.Seconds() * g.LoadBytes,
+		},
+	}
+}
--- a/pkg/expertmap/mapswitch/coordinator.go
+++ b/pkg/expertmap/mapswitch/coordinator.go
@@ -49,11 +49,13 @@
 	atStep uint64
 }
 
-// coordinates reports whether all lower ranks have been silent for so long that
-// this member leads. Higher ranks wait longer, so that one starts alone.
+// coordinates reports whether all higher ranks have been silent for so long that
+// this member leads. Lower ranks wait longer, so that one starts alone. Rank 0,
+// whose agent carries the group's requests, leads last.
 func (m *Member) coordinates(now time.Time) bool {
-	patience := m.cfg.Patience + time.Duration(m.cfg.Rank)*m.cfg.Interval
-	for r := range m.cfg.Rank {
+	above := m.cfg.Ranks - 1 - m.cfg.Rank
+	patience := m.cfg.Patience + time.Duration(above)*m.cfg.Interval
+	for r := m.cfg.Rank + 1; r < m.cfg.Ranks; r++ {
 		if now.Sub(m.heardAt[r]) <= patience {
 			return false
 		}
--- a/pkg/expertmap/mapswitch/member.go
+++ b/pkg/expertmap/mapswitch/member.go
@@ -28,7 +28,7 @@
 	ChecksFencing bool
 	// Interval is the time between two pings, reads of the rank, and resends.
 	Interval time.Duration
-	// Patience is how long the lower ranks must be silent before this member
+	// Patience is how long the higher ranks must be silent before this member
 	// coordinates.
 	Patience time.Duration
 	// RoundTimeout is how long a phase may last before a new round replaces it.
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -32,7 +32,7 @@
 	ChecksFencing bool
 	// Interval is the time between two pings and reads of the rank.
 	Interval time.Duration
-	// Patience is how long the lower ranks must be silent before this one
+	// Patience is how long the higher ranks must be silent before this one
 	// coordinates.
 	Patience time.Duration
 	// OrderTimeout is the longest time after which an order whose answer is
--- a/pkg/group/leave.go
+++ b/pkg/group/leave.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // front is the rank whose agent admits the group's work.
@@ -14,6 +16,10 @@
 // leaveInterval is the time between two questions whether the group is drained.
 const leaveInterval = 100 * time.Millisecond
 
+// frontGone is how long the front agent must refuse connections until the group
+// counts as drained: a process that is gone admits nothing.
+const frontGone = 2 * time.Second
+
 // Leave asks the group's front agent to take no new work, and waits until the
 // group has none left or ctx ends. The front agent itself has nothing to ask.
 func (g *Group) Leave(ctx context.Context) error {
@@ -21,6 +27,7 @@
 		return nil
 	}
 	request := &LeaveRequest{Rank: g.cfg.Rank, Incarnation: g.incarnation}
+	answered := time.Now()
 	for {
 		var reply LeaveReply
 		err := g.client.post(ctx, g.cfg.Members[front]+PathLeave, request, &reply)
@@ -28,6 +35,13 @@
 			g.log.Info("the group is drained")
 			return nil
 		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			answered = time.Now()
+		}
+		if time.Since(answered) > frontGone {
+			g.log.Warn("the front agent is gone; its group has no work")
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -70,6 +70,7 @@
 	MaxRoom        int           `long:"max-room" env:"ACACIAGLADE_MAX_ROOM" default:"16" description:"Requests that a warm upstream may run at once."`
 	HealthyStep    time.Duration `long:"healthy-step" env:"ACACIAGLADE_HEALTHY_STEP" default:"27ms" description:"Longest step time of a healthy upstream."`
 	GrowEvery      time.Duration `long:"grow-every" env:"ACACIAGLADE_GROW_EVERY" default:"200ms" description:"Shortest time between two increases of the room."`
+	Group          Group         `group:"Rank group"`
 }
 
 // Fault is one bad setting.
@@ -170,6 +171,7 @@
 	c.require(s.MaxRoom >= s.MinRoom, "max-room", "give at least --min-room")
 	c.positive(s.HealthyStep, "healthy-step")
 	c.positive(s.GrowEvery, "grow-every")
+	c.group(&s.Group)
 	return c.err()
 }
 
