--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -17,6 +17,7 @@
 	"github.com/acaciaglade/acaciaglade/lab/maps"
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
+	"github.com/acaciaglade/acaciaglade/lab/slope"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
 )
 
@@ -107,6 +108,7 @@
 		{"maps", "Measure policies of expert maps in virtual time", &maps.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
+		{"slope", "Measure how use grows with one size", &slope.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
 			panic(err)
--- a/lab/load/send.go
+++ b/lab/load/send.go
@@ -39,15 +39,19 @@
 
 // target returns the method, path and body of a request.
 func (c *Config) target() (method, path, body string) {
+	service := "/services/" + c.Service
+	if c.Direct {
+		service = ""
+	}
 	switch c.Kind {
 	case Confirm:
-		return http.MethodPost, "/services/" + c.Service + "/orders/confirm", `{"item":"cufflinks"}`
+		return http.MethodPost, service + "/orders/confirm", `{"item":"cufflinks"}`
 	case Status:
-		return http.MethodGet, "/services/" + c.Service + "/orders/17", ""
+		return http.MethodGet, service + "/orders/17", ""
 	default:
 		return http.MethodPost, "/v1/chat/completions", fmt.Sprintf(
 			`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"one two three"}]}`,
-			c.Model, c.Kind == Chat, c.Tokens)
+			c.Model, c.Kind != Draft, c.Tokens)
 	}
 }
 
@@ -83,7 +87,7 @@
 		return answer{refusal: &p}, errors.WithStack(json.NewDecoder(resp.Body).Decode(&p))
 	}
 	switch s.cfg.Kind {
-	case Chat:
+	case Chat, Counter:
 		return readEvents(resp.Body, begin, s.cfg.Tokens)
 	case Draft:
 		return readDraft(resp.Body, s.cfg.Tokens)
--- a/lab/sessions/group_test.go
+++ b/lab/sessions/group_test.go
@@ -250,7 +250,7 @@
 	newVersion(t, d, 0)
 	r := &session.Recorder{}
 	stop := traffic(t, d)
-	untilRunning(t, d)
+	untilGroupRuns(t, d)
 
 	r.Note("the host of rank 2 is stopped")
 	signal(t, d.Members[2], syscall.SIGTERM)
@@ -259,7 +259,7 @@
 	if err := d.Members[2].Wait(ctx); err != nil {
 		t.Fatal(err)
 	}
-	r.Line("requests that the group runs when the rank's agent ends: %d", running(t, d))
+	r.Line("requests that the group runs when the rank's agent ends: %d", groupRuns(t, d))
 	if err := d.Kill(ctx, d.Ranks[2]); err != nil {
 		t.Fatal(err)
 	}
@@ -270,7 +270,7 @@
 	if err := d.Restart(d.Members[2]); err != nil {
 		t.Fatal(err)
 	}
-	untilRunning(t, d)
+	untilGroupRuns(t, d)
 	r.Line("the group runs requests again")
 	r.Note("the callers")
 	r.Line("every answer whole: %t", whole(t, stop()))
@@ -278,8 +278,8 @@
 	golden(t, r)
 }
 
-// running returns the number of requests that the group's front agent runs.
-func running(t *testing.T, d *deploy.Deployment) int {
+// groupRuns returns the number of requests that the group's front agent runs.
+func groupRuns(t *testing.T, d *deploy.Deployment) int {
 	t.Helper()
 	s, err := d.Operator(0).Status(t.Context())
 	if err != nil {
@@ -293,11 +293,11 @@
 	return 0
 }
 
-// untilRunning waits until the group runs a request.
-func untilRunning(t *testing.T, d *deploy.Deployment) {
+// untilGroupRuns waits until the group runs a request.
+func untilGroupRuns(t *testing.T, d *deploy.Deployment) {
 	t.Helper()
 	eventually(t, 20*time.Second, "the group runs requests", func() error {
-		if running(t, d) == 0 {
+		if groupRuns(t, d) == 0 {
 			return errors.New("none")
 		}
 		return nil
@@ -309,7 +309,7 @@
 	newVersion(t, d, 0)
 	r := &session.Recorder{}
 	stop := traffic(t, d)
-	untilRunning(t, d)
+	untilGroupRuns(t, d)
 	r.Note("rank 2 is killed and started again")
 	if err := d.Kill(t.Context(), d.Ranks[2]); err != nil {
 		t.Fatal(err)
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/admission"
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/claim"
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/group"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
@@ -46,6 +47,10 @@
 	Orphan time.Duration
 	// SampleInterval is the time between two samples of the upstream.
 	SampleInterval time.Duration
+	// Line is how many admitted attempts may wait for room.
+	Line int
+	// Reserved is how much of the limit only priority work may use.
+	Reserved int
 	// Warmup is the settings of the admission limit.
 	Warmup warmup.Config
 	// Group is the settings of the upstream's group of ranks, nil when it is none.
@@ -59,6 +64,7 @@
 	upstream    *upstreamClient
 	claims      *claim.Book
 	metrics     *agentMetrics
+	decisions   *decisionlog.Log
 	log         logger
 
 	mu   sync.Mutex
@@ -78,6 +84,7 @@
 		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
 		claims:      claim.NewBook(store),
 		metrics:     newAgentMetrics(reg),
+		decisions:   decisionlog.New(cfg.Upstream, maxDecisions),
 		log:         logging.For("agent"),
 		gate: admission.New(admission.Config{
 			Upstream:      cfg.Upstream,
@@ -86,6 +93,9 @@
 			Incarnation:   incarnation,
 			Started:       time.Now(),
 			ClockError:    cfg.ClockError,
+			RequireMarks:  true,
+			Line:          cfg.Line,
+			Reserved:      cfg.Reserved,
 			Warmup:        cfg.Warmup,
 		}),
 		runs: make(map[string]*run),
@@ -117,6 +127,7 @@
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.gate.Leave()
+	a.turns()
 	a.mu.Unlock()
 	a.log.Info("leaving; no new work is admitted")
 	done := make(chan struct{})
@@ -142,6 +153,7 @@
 	defer a.mu.Unlock()
 	if err != nil || closed {
 		a.gate.Unreachable()
+		a.turns()
 		return
 	}
 	a.gate.Observe(warmup.Sample{
@@ -149,6 +161,7 @@
 		Step:        time.Duration(load.StepMillis * float64(time.Millisecond)),
 		Cold:        load.Cold,
 	}, load.Skew, time.Now())
+	a.turns()
 }
 
 // sweep forgets answers that nobody needs any more and cancels abandoned runs.
@@ -171,6 +184,7 @@
 // once it was dispatched, so that its outcome becomes known. The caller holds
 // the lock.
 func (a *Agent) abandon(r *run) {
+	a.leaveLine(r)
 	if r.idempotent {
 		r.cancel()
 		return
@@ -192,12 +206,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := newRun(req, cancel, now)
+	r.queued = d.Queued
 	a.runs[req.RequestID] = r
 	a.metrics.running.Inc()
 	a.work.Go(func() {
 		defer cancel()
-		a.execute(ctx, req, r)
-		a.release()
+		a.serve(ctx, req, r)
 	})
 	return d, r
 }
@@ -215,6 +229,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.Release()
+	a.turns()
 	a.metrics.running.Dec()
 }
 
--- a/pkg/agent/http.go
+++ b/pkg/agent/http.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
@@ -23,14 +24,24 @@
 	if a.group != nil {
 		a.group.Register(g)
 	}
+	a.registerDecisions(g)
+}
+
+// maxMessageBytes is the largest message of an entry.
+const maxMessageBytes = 64 << 20
+
+func decode(c echo.Context, message any) error {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxMessageBytes)
+	return errors.WithStack(json.NewDecoder(body).Decode(message))
 }
 
 func (a *Agent) handleAttempt(c echo.Context) error {
 	var req api.AttemptRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+	if err := decode(c, &req); err != nil || !req.Valid(time.Now()) {
 		return c.NoContent(http.StatusBadRequest)
 	}
 	d, r := a.admit(&req, time.Now())
+	a.recordAdmission(&req, &d, r != nil)
 	w := newFrameWriter(c)
 	if r == nil {
 		return w.write(a.refusalFrame(req.RequestID, d.Outcome, d.Refusal))
@@ -68,30 +79,35 @@
 
 func (a *Agent) handleWithdraw(c echo.Context) error {
 	var req api.WithdrawRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+	if err := decode(c, &req); err != nil || !req.Valid(time.Now()) {
 		return c.NoContent(http.StatusBadRequest)
 	}
 	a.mu.Lock()
 	outcome := a.gate.Withdraw(&req, time.Now())
+	if r := a.runs[req.RequestID]; r != nil && outcome == api.OutcomeNotRun {
+		a.leaveLine(r)
+	}
 	a.mu.Unlock()
+	a.recordWithdrawal(req.RequestID, outcome)
 	return c.JSON(http.StatusOK, api.WithdrawReply{Outcome: outcome})
 }
 
 func (a *Agent) handleReport(c echo.Context) error {
 	var req api.ReportRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&req); err != nil {
+	if err := decode(c, &req); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
 	if req.Marks != nil {
 		a.takeMarks(*req.Marks)
 	}
-	return c.JSON(http.StatusOK, a.report())
+	return c.JSON(http.StatusOK, a.answer(&req))
 }
 
 func (a *Agent) takeMarks(m api.Marks) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.gate.SetMarks(m) {
+		a.turns()
 		a.log.WithField("version", m.Version).Info("marks in force")
 	}
 }
--- a/pkg/agent/ranks.go
+++ b/pkg/agent/ranks.go
@@ -27,6 +27,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.Unreachable()
+	a.turns()
 }
 
 // groupClosed reports whether the group takes no new work.
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -10,7 +10,6 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/entry"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
-	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
@@ -43,26 +42,25 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run(background)
-	return server.Run(ctx, &c.Common, handler, func(context.Context) error {
-		e.Stop()
-		return nil
-	})
+	return server.Run(ctx, &c.Common, handler, e.Leave)
 }
 
 func newEntry(s *settings.Entry) *entry.Entry {
 	agents := peer.NewAgentClient(s.PeerToken)
 	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout), s.Name)
 	view := fleet.New(fleet.Config{
-		Entry:            s.Name,
-		SubsetSize:       s.SubsetSize,
-		ReportInterval:   s.ReportInterval,
-		HostsInterval:    s.HostsInterval,
-		MaxReportAge:     s.MaxReportAge,
-		MergeProvisional: store.MergeProvisional,
-		Seed:             maphash.Comparable(maphash.MakeSeed(), s.Name),
+		Entry:               s.Name,
+		LinePerOrganisation: s.LinePerOrganisation,
+		SubsetSize:          s.SubsetSize,
+		ReportInterval:      s.ReportInterval,
+		HostsInterval:       s.HostsInterval,
+		MaxReportAge:        s.MaxReportAge,
+		MergeProvisional:    store.MergeProvisional,
+		Seed:                maphash.Comparable(maphash.MakeSeed(), s.Name),
 		Scheduler: scheduler.Config{
 			MaxWaiting:        s.MaxWaiting,
 			AvoidAfterFailure: s.AvoidAfter,
+			Horizon:           s.LineHorizon,
 		},
 	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
 	return entry.New(entry.Config{
@@ -70,8 +68,9 @@
 		PeerToken:     s.PeerToken,
 		OperatorToken: s.OperatorToken,
 		MaxBodyBytes:  s.MaxBodyBytes,
+		LeaveDelay:    s.LeaveDelay,
 		Deadline:      deadline.Config{Default: s.DefaultDeadline, Max: s.MaxDeadline},
-		Ceiling:       ceiling.Config{Burst: s.CeilingBurst},
+		CeilingBurst:  s.CeilingBurst,
 		Attempt: attempt.Config{
 			Silence:    s.Silence,
 			AskTimeout: s.AskTimeout,
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -44,9 +45,12 @@
 	OperatorToken string
 	// MaxBodyBytes is the largest body of a request.
 	MaxBodyBytes int64
-	// Deadline, Ceiling and Attempt are the settings of the filters.
+	// LeaveDelay is how long the entry stays reachable after it began to leave.
+	LeaveDelay time.Duration
+	// CeilingBurst is the time for which an unused ceiling can be saved up.
+	CeilingBurst time.Duration
+	// Deadline and Attempt are the settings of the filters.
 	Deadline deadline.Config
-	Ceiling  ceiling.Config
 	Attempt  attempt.Config
 }
 
@@ -56,38 +60,32 @@
 	store    *tablestore.Store
 	fleet    *fleet.Fleet
 	exchange *tablestore.Exchange
+	ceilings *ceilings
 	chain    pipe.Handler
 	api      *operator.API
 	registry *prometheus.Registry
-	requests *prometheus.CounterVec
-	refusals *prometheus.CounterVec
+	accounts *accounts
 	stopping atomic.Bool
 	log      *logrus.Entry
 }
 
 // New builds the filters of an entry.
 func New(cfg Config, store *tablestore.Store, f *fleet.Fleet, agents *peer.AgentClient, reg *prometheus.Registry) *Entry {
-	cfg.Ceiling.Entries = f.Entries
+	entries := peer.NewEntryClient(cfg.PeerToken)
 	e := &Entry{
 		cfg:      cfg,
 		store:    store,
 		fleet:    f,
-		exchange: tablestore.NewExchange(store, peer.NewEntryClient(cfg.PeerToken), f.Hosts),
-		api:      operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name}, store, f),
+		exchange: tablestore.NewExchange(store, entries, f.Hosts),
+		ceilings: newCeilings(cfg.Name, cfg.CeilingBurst, entries, f.Hosts),
+		accounts: newAccounts(cfg.Name, agents, f.Hosts, reg),
 		registry: reg,
-		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_requests_total",
-			Help: "Requests of callers, by organisation and result.",
-		}, []string{"organisation", "result"}),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_refusals_total",
-			Help: "Requests that were refused, by reason and whether they ran.",
-		}, []string{"reason", "ran"}),
-		log: logging.For("entry"),
+		log:      logging.For("entry"),
 	}
-	reg.MustRegister(e.requests, e.refusals)
+	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f, entries, agents)
+	store.RegisterMetrics(reg)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
-	e.chain = ceiling.New(e.chain, cfg.Ceiling)
+	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
 	e.chain = route.New(e.chain)
 	e.chain = authenticate.New(e.chain)
@@ -95,15 +93,29 @@
 	return e
 }
 
-// Stop makes the entry refuse new requests. Running ones go on.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Leave makes the entry not ready and refuse new requests. It returns after the
+// leave delay, by which the balancer sends no more callers. Running requests go
+// on.
+func (e *Entry) Leave(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.log.Info("leaving; new callers are refused")
+	select {
+	case <-time.After(e.cfg.LeaveDelay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 // Register adds the entry's routes to an HTTP server.
 func (e *Entry) Register(s *echo.Echo) {
 	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.GET("/readyz", e.ready)
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
-	e.store.RegisterPeer(s.Group("", peer.RequireToken(e.cfg.PeerToken)))
+	peers := s.Group("", peer.RequireToken(e.cfg.PeerToken))
+	e.store.RegisterPeer(peers)
+	e.accounts.registerPeer(peers)
+	e.ceilings.registerPeer(peers)
 	e.api.Register(s)
 	s.POST(route.PathChat, e.chat)
 	s.Any(route.PrefixServices+"*", e.plain)
@@ -119,23 +131,18 @@
 // serve runs a request through the filters and answers refusals.
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
-	r.Reply = reply
+	r.Reply, r.Decisions = reply, e.accounts.decisions
 	err := e.receive(c, r)
 	if err == nil {
 		err = e.chain.Serve(c.Request().Context(), r)
 	}
-	organisation := ""
-	if r.Organisation != nil {
-		organisation = r.Organisation.Name
-	}
 	if err == nil {
-		e.requests.WithLabelValues(organisation, "complete").Inc()
+		e.accounts.ended(r, nil)
 		return nil
 	}
-	e.requests.WithLabelValues(organisation, "refused").Inc()
 	p := asProblem(err)
 	p.RequestID = r.ID
-	e.refusals.WithLabelValues(string(p.Reason), string(p.Ran)).Inc()
+	e.accounts.ended(r, p)
 	return reply.Refuse(p)
 }
 
@@ -152,5 +159,6 @@
 	go e.store.Watch(ctx)
 	go e.store.SettleProvisional(ctx)
 	go e.exchange.Run(ctx)
+	go e.ceilings.run(ctx)
 	e.fleet.Run(ctx)
 }
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/url"
 	"sync"
 	"time"
 
@@ -80,18 +81,34 @@
 		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Spent-r.Cost)
 	}()
 	for {
-		upstream, err := queue.Acquire(ctx, f.fleet, r)
+		upstream, err := j.acquire(ctx)
 		if err != nil {
 			return j.queueRefusal(err)
 		}
+		r.Decide("send an attempt", "the upstream has room", upstream.Report.Upstream)
 		action, err := j.attempt(ctx, upstream)
 		if action != retry.Again {
 			return err
 		}
 		f.retries.WithLabelValues(string(j.reason())).Inc()
+		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, -r.Cost)
 	}
 }
 
+// rerunWait is how long a caller that has a part of an answer waits for another
+// upstream before the answer is broken off.
+const rerunWait = time.Second
+
+// acquire waits for an upstream for the next attempt.
+func (j *job) acquire(ctx context.Context) (fleet.Upstream, error) {
+	if j.state.Relayed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, rerunWait)
+		defer cancel()
+	}
+	return queue.Acquire(ctx, j.fleet, j.request)
+}
+
 func (f *filter) next(state *retry.Request, event retry.EventKind) retry.Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,12 +131,9 @@
 func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
 	j.attempts++
 	j.refusal = nil
-	if !j.state.Relayed {
-		j.verifier = stream.NewVerifier(j.request.ID)
-		j.request.Reply.Restart()
-	}
+	j.begin()
 	failed := true
-	defer func() { j.fleet.Release(u.Report.Upstream, failed) }()
+	defer func() { j.fleet.Release(j.request.ID, failed) }()
 	event, err := j.send(ctx, u)
 	for {
 		if err == nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -129,7 +143,9 @@
 			j.abandon(u, j.attempts)
 			return retry.Done, err
 		}
-		switch action := j.next(&j.state, event); action {
+		action := j.next(&j.state, event)
+		j.request.Decide(action.String(), event.String(), u.Report.Upstream)
+		switch action {
 		case retry.Ask:
 			event = j.ask(u)
 		case retry.Resume:
@@ -149,18 +165,33 @@
 	}
 }
 
+// begin prepares for an answer that begins at its first frame. What the caller
+// already has is not relayed again.
+func (j *job) begin() {
+	if j.state.Relayed {
+		j.verifier.Rerun()
+		return
+	}
+	j.verifier = stream.NewVerifier(j.request.ID)
+	j.request.Reply.Restart()
+}
+
 // send sends the attempt and relays its answer.
 func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	r := j.request
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	timer := time.AfterFunc(j.silence(), cancel)
 	defer timer.Stop()
 	body, err := j.agents.Attempt(ctx, u.Address, &api.AttemptRequest{
 		RequestID:         r.ID,
 		Attempt:           j.attempts,
 		Incarnation:       u.Report.Incarnation,
 		Organisation:      r.Organisation.Name,
+		Weight:            r.Organisation.Weight,
+		Entry:             u.Entry,
+		Cost:              r.Cost,
+		Virtual:           u.Virtual,
 		Service:           r.Service.Name,
 		Model:             r.Service.Kind == table.KindModel,
 		Priority:          r.Organisation.Priority,
@@ -180,19 +211,18 @@
 	return j.relay(body, timer)
 }
 
-// upstreamPath returns the path and query of the upstream's call.
+// upstreamPath returns the path and query of the upstream's call. The path is
+// encoded, so that the upstream decodes it to the one that was judged.
 func upstreamPath(r *pipe.Request) string {
-	if r.Query == "" {
-		return r.Path
-	}
-	return r.Path + "?" + r.Query
+	u := url.URL{Path: r.Path, RawQuery: r.Query}
+	return u.RequestURI()
 }
 
 // resume reads the answer on from where it stopped, on a new connection.
 func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	timer := time.AfterFunc(j.silence(), cancel)
 	defer timer.Stop()
 	body, err := j.agents.Resume(ctx, u.Address, j.request.ID, j.verifier.Next())
 	if err != nil {
@@ -212,7 +242,7 @@
 // ask asks the agent for the state of the request. A question that failed is
 // repeated a few times, as the connection may have broken for a moment only.
 func (j *job) ask(u fleet.Upstream) retry.EventKind {
-	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
 	defer cancel()
 	for try := 1; ; try++ {
 		outcome, err := j.agents.Withdraw(ctx, u.Address, &api.WithdrawRequest{
@@ -251,6 +281,9 @@
 	if !j.state.MaybeRan {
 		return err
 	}
+	if j.state.Relayed {
+		return j.problem(retry.BreakOff)
+	}
 	return j.problem(retry.RefuseUnknown)
 }
 
