--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -75,6 +75,7 @@
 	Reserved       int           `long:"reserved" env:"ACACIAGLADE_RESERVED" default:"0" description:"Part of the room that only priority organisations may use, in requests."`
 	HealthyStep    time.Duration `long:"healthy-step" env:"ACACIAGLADE_HEALTHY_STEP" default:"27ms" description:"Longest step time of a healthy upstream."`
 	GrowEvery      time.Duration `long:"grow-every" env:"ACACIAGLADE_GROW_EVERY" default:"200ms" description:"Shortest time between two increases of the room."`
+	Group          Group         `group:"Rank group"`
 }
 
 // Fault is one bad setting.
@@ -187,6 +188,7 @@
 	c.require(s.MaxRoom >= s.MinRoom, "max-room", "give at least --min-room")
 	c.positive(s.HealthyStep, "healthy-step")
 	c.positive(s.GrowEvery, "grow-every")
+	c.group(&s.Group)
 	return c.err()
 }
 
