Keep the legend of plots above their lines

Cause: the legend covered the lines at the right of each plot. Change: the y axis is half as high again as the largest value. Ruled out: a legend below, which the library does not offer. Conclusion: only the look changes.

--- a/lab/plot/plot.go
+++ b/lab/plot/plot.go
@@ -27,6 +27,9 @@
 	Series []Series
 }
 
+// headroom is the height of the y axis as a multiple of the largest value.
+const headroom = 1.5
+
 // Size of a figure.
 const (
 	width  = 18 * vg.Centimeter
@@ -49,6 +52,8 @@
 		p.Add(line)
 		p.Legend.Add(s.Name, line)
 	}
+	// Room for the legend above the lines.
+	p.Y.Max *= headroom
 	return errors.WithStack(p.Save(width, height, path))
 }
 
