--- a/pkg/agent/http.go
+++ b/pkg/agent/http.go
@@ -81,6 +81,9 @@
 	}
 	a.mu.Lock()
 	outcome := a.gate.Withdraw(&req, time.Now())
+	if r := a.runs[req.RequestID]; r != nil && outcome == api.OutcomeNotRun {
+		a.leaveLine(r)
+	}
 	a.mu.Unlock()
 	a.recordWithdrawal(req.RequestID, outcome)
 	return c.JSON(http.StatusOK, api.WithdrawReply{Outcome: outcome})
@@ -94,13 +97,14 @@
 	if req.Marks != nil {
 		a.takeMarks(*req.Marks)
 	}
-	return c.JSON(http.StatusOK, a.report())
+	return c.JSON(http.StatusOK, a.answer(&req))
 }
 
 func (a *Agent) takeMarks(m api.Marks) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.gate.SetMarks(m) {
+		a.turns()
 		a.log.WithField("version", m.Version).Info("marks in force")
 	}
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -24,6 +24,9 @@
 type Config struct {
 	// Entry is the name of this entry.
 	Entry string
+	// LinePerOrganisation is how many attempts of one organisation may wait at
+	// one agent.
+	LinePerOrganisation int
 	// SubsetSize is how many upstreams this entry takes; 0 means all.
 	SubsetSize int
 	// ReportInterval is the time between two reports of an agent.
@@ -45,6 +48,10 @@
 type Upstream struct {
 	Report  api.Report
 	Address string
+	// Entry is the name of the entry that was granted the upstream.
+	Entry string
+	// Virtual is the organisation's virtual time.
+	Virtual float64
 }
 
 // Fleet is an entry's view of its upstreams.
@@ -56,7 +63,7 @@
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
-	waiting   map[string]chan scheduler.Grant
+	waiting   map[string]chan answer
 	addresses map[string]string
 	pollers   map[string]context.CancelFunc
 	entries   int
@@ -69,14 +76,17 @@
 
 // New returns a fleet view. Run must be called for it to see upstreams.
 func New(cfg Config, list *hosts.Client, agents *peer.AgentClient) *Fleet {
-	policy := &selection.TwoChoices{MaxAge: cfg.MaxReportAge, Rand: rand.New(rand.NewPCG(cfg.Seed, 0))}
+	policy := &selection.TwoChoices{
+		Limits: selection.Limits{MaxAge: cfg.MaxReportAge, LinePerOrganisation: cfg.LinePerOrganisation},
+		Rand:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
 	return &Fleet{
 		cfg:       cfg,
 		list:      list,
 		agents:    agents,
 		log:       logging.For("fleet"),
 		scheduler: scheduler.New(cfg.Scheduler, policy),
-		waiting:   make(map[string]chan scheduler.Grant),
+		waiting:   make(map[string]chan answer),
 		addresses: make(map[string]string),
 		pollers:   make(map[string]context.CancelFunc),
 		services:  make(map[string]string),
@@ -122,14 +132,14 @@
 
 // Acquire waits for an upstream for a request.
 func (f *Fleet) Acquire(ctx context.Context, r scheduler.Request) (Upstream, error) {
-	granted := make(chan scheduler.Grant, 1)
+	granted := make(chan answer, 1)
 	f.mu.Lock()
 	f.waiting[r.ID] = granted
 	f.deliver(f.scheduler.Arrive(r, time.Now()))
 	f.mu.Unlock()
 	select {
-	case g := <-granted:
-		return f.upstream(g)
+	case a := <-granted:
+		return a.upstream, a.err
 	case <-ctx.Done():
 	}
 	f.mu.Lock()
@@ -137,18 +147,25 @@
 	delete(f.waiting, r.ID)
 	f.mu.Unlock()
 	select {
-	case g := <-granted:
-		return f.upstream(g)
+	case a := <-granted:
+		return a.upstream, a.err
 	default:
 		return Upstream{}, problem.New(problem.ReasonDeadlineExceeded, "")
 	}
 }
 
-// Release gives back an upstream after an attempt.
-func (f *Fleet) Release(upstream string, failed bool) {
+// Started records that the upstream has started to answer a request.
+func (f *Fleet) Started(requestID string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deliver(f.scheduler.Started(requestID, time.Now()))
+}
+
+// Release gives back the upstream of a request after an attempt.
+func (f *Fleet) Release(requestID string, failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deliver(f.scheduler.Ended(upstream, failed, time.Now()))
+	f.deliver(f.scheduler.Ended(requestID, failed, time.Now()))
 }
 
 // Report takes a report that came with an answer.
@@ -157,16 +174,13 @@
 	defer f.mu.Unlock()
 	f.services[r.Upstream] = r.Service
 	f.deliver(f.scheduler.Report(r, time.Now()))
-	if f.index != nil && f.index.Out(r.Upstream, r.FailureDomain) {
-		f.deliver(f.scheduler.SetOut(f.index.Out, time.Now()))
-	}
 }
 
 // Attain corrects an organisation's share after a request.
 func (f *Fleet) Attain(service, organisation string, weight int, difference float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.scheduler.Attain(service, organisation, weight, difference)
+	f.scheduler.Attain(service, organisation, weight, difference, time.Now())
 }
 
 // Candidates returns the upstreams of a service as this entry sees them.
@@ -176,19 +190,30 @@
 	return f.scheduler.Candidates(service)
 }
 
-func (f *Fleet) upstream(g scheduler.Grant) (Upstream, error) {
+// answer is what a waiting request gets.
+type answer struct {
+	upstream Upstream
+	err      error
+}
+
+// answer turns a grant into what the waiting request gets. The caller holds the
+// lock.
+func (f *Fleet) answer(g scheduler.Grant) answer {
 	if g.Refusal != nil {
-		return Upstream{}, g.Refusal
+		return answer{err: g.Refusal}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return Upstream{Report: g.Upstream, Address: f.addresses[g.Upstream.Upstream]}, nil
+	return answer{upstream: Upstream{
+		Report:  g.Upstream,
+		Address: f.addresses[g.Upstream.Upstream],
+		Entry:   f.cfg.Entry,
+		Virtual: g.Virtual,
+	}}
 }
 
 // deliver hands grants to the waiting requests. The caller holds the lock.
 func (f *Fleet) deliver(grants []scheduler.Grant) {
 	for _, g := range grants {
-		f.waiting[g.ID] <- g
+		f.waiting[g.ID] <- f.answer(g)
 		delete(f.waiting, g.ID)
 	}
 }
--- a/pkg/scheduler/suspect_test.go
+++ b/pkg/scheduler/suspect_test.go
@@ -15,7 +15,7 @@
 	const avoid = 100 * time.Millisecond
 	now := time.Unix(1000, 0)
 	s := New(Config{MaxWaiting: 8, AvoidAfterFailure: avoid},
-		&selection.TwoChoices{MaxAge: time.Minute, Rand: rand.New(rand.NewPCG(1, 0))})
+		&selection.TwoChoices{Limits: selection.Limits{MaxAge: time.Minute}, Rand: rand.New(rand.NewPCG(1, 0))})
 	report := api.Report{Upstream: "u", Service: "m", Incarnation: "i", Sequence: 1, Limit: 4, Ready: true}
 	s.Report(report, now)
 	request := func(id string) Request {
@@ -24,7 +24,7 @@
 	if got := len(s.Arrive(request("a"), now)); got != 1 {
 		t.Fatalf("%d grants before the failure, want 1", got)
 	}
-	s.Ended("u", true, now)
+	s.Ended("a", true, now)
 	now = now.Add(2 * avoid)
 	if got := len(s.Arrive(request("b"), now)); got != 0 {
 		t.Fatalf("%d grants after the failure, want 0", got)
