--- a/lab/sessions/group_test.go
+++ b/lab/sessions/group_test.go
@@ -156,8 +156,8 @@
 	return version
 }
 
-// traffic sends chat completions until the returned function is called.
-func traffic(t *testing.T, d *deploy.Deployment) func() load.Result {
+// sendChats sends chat completions until the returned function is called.
+func sendChats(t *testing.T, d *deploy.Deployment) func() load.Result {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wait sync.WaitGroup
@@ -203,7 +203,7 @@
 	shape.MemberArgs = append(shape.MemberArgs, memberArgs...)
 	d := start(t, shape)
 	r := &session.Recorder{}
-	stop := traffic(t, d)
+	stop := sendChats(t, d)
 
 	r.Note("the planner replaces the even map")
 	first := newVersion(t, d, 0)
@@ -249,7 +249,7 @@
 	d := start(t, shape)
 	newVersion(t, d, 0)
 	r := &session.Recorder{}
-	stop := traffic(t, d)
+	stop := sendChats(t, d)
 	untilGroupRuns(t, d)
 
 	r.Note("the host of rank 2 is stopped")
@@ -308,7 +308,7 @@
 	d := start(t, groupShape())
 	newVersion(t, d, 0)
 	r := &session.Recorder{}
-	stop := traffic(t, d)
+	stop := sendChats(t, d)
 	untilGroupRuns(t, d)
 	r.Note("rank 2 is killed and started again")
 	if err := d.Kill(t.Context(), d.Ranks[2]); err != nil {
