Tell an unread table from an empty one

Cause: TestFailureDomainOutAndIn once panicked on an empty list of failure domains: a restarted entry that had read no table yet answered its operators with an empty one, which a careless save would have written over the real one had the version not been checked. Ruled out: a fault of the restart; the entry had the table 300 ms later. Change: before its first table an entry asks the platform's store whether there is one, and otherwise answers not_ready or store_unavailable. Measured: TestCurrentBeforeTheFirstRead passes; without the check for a head it would return an empty table at version 0 in its second case.

--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -89,11 +89,16 @@
 }
 
 func (a *API) getTable(c echo.Context) error {
-	ix := a.store.Index()
-	if ix == nil {
-		return c.JSON(http.StatusOK, &table.Table{})
+	ctx, cancel := context.WithTimeout(c.Request().Context(), changeTimeout)
+	defer cancel()
+	t, err := a.store.Current(ctx)
+	switch {
+	case errors.Is(err, tablestore.ErrNotRead):
+		return WriteProblem(c, problem.New(problem.ReasonNotReady, err.Error()))
+	case err != nil:
+		return WriteProblem(c, problem.New(problem.ReasonStoreUnavailable, err.Error()))
 	}
-	return c.JSON(http.StatusOK, ix.Table())
+	return c.JSON(http.StatusOK, t)
 }
 
 // putTable replaces the whole table. Its version must be the one that was read.
--- a/pkg/tablestore/tablestore_test.go
+++ b/pkg/tablestore/tablestore_test.go
@@ -220,3 +220,22 @@
 		t.Error("an entry that was cut off brought the mark back")
 	}
 }
+
+// TestCurrentBeforeTheFirstRead checks that an entry that has read no table yet
+// doesn't take that for an empty one.
+func TestCurrentBeforeTheFirstRead(t *testing.T) {
+	fake := newFake()
+	if got, err := New(fake, "fresh").Current(t.Context()); err != nil || got.Version != 0 {
+		t.Fatalf("no table: got %v, %v", got, err)
+	}
+	change(t, New(fake, "writer"), func(d *Draft) {
+		d.Organisations = organisations(1)
+	})
+	if _, err := New(fake, "restarted").Current(t.Context()); !errors.Is(err, ErrNotRead) {
+		t.Errorf("a table that is not read: %v", err)
+	}
+	fake.set(func() { fake.down = true })
+	if _, err := New(fake, "restarted").Current(t.Context()); !errors.Is(err, objects.ErrUnavailable) {
+		t.Errorf("no answer: %v", err)
+	}
+}
