Mend the operators' page as a browser sees it

Cause: opened in headless Chromium against the running demo, the page failed twice: the status told "no provisional marks" as null, which the page could not list, and the sheet and the status table of upstreams had one id. Ruled out: a fault of saving; version 5 was accepted while the status failed. Change: no marks are an empty list; the status tables have ids of their own. TestJudgeHosts fails without the first change.

--- a/pkg/operator/page/page.js
+++ b/pkg/operator/page/page.js
@@ -203,9 +203,9 @@
   element("summary").textContent = [
     body.entry + " has version " + body.table_version, "the newest is " + body.newest_version, store, ...pending,
   ].join("; ");
-  showRows(element("hosts"), ["host", "role", "failure_domain", "reachable", "version", "in_force", "age_millis"],
+  showRows(element("status-hosts"), ["host", "role", "failure_domain", "reachable", "version", "in_force", "age_millis"],
     body.hosts, (h) => !h.in_force);
-  showRows(element("upstreams"), ["upstream", "service", "failure_domain", "running", "limit", "ready", "leaving", "out", "report_age_millis"],
+  showRows(element("status-upstreams"), ["upstream", "service", "failure_domain", "running", "limit", "ready", "leaving", "out", "report_age_millis"],
     body.upstreams, (u) => !u.ready);
 }
 
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -232,5 +232,5 @@
 		h := &list[i]
 		h.InForce = h.Reachable && h.Version >= version && !newest.Newer(version, h.provisional)
 	}
-	return version, slices.Concat([]api.ProvisionalOut{}, newest.Held().Provisional)
+	return version, append([]api.ProvisionalOut{}, newest.Held().Provisional...)
 }
--- a/pkg/operator/status_test.go
+++ b/pkg/operator/status_test.go
@@ -19,6 +19,9 @@
 	if version != 5 || len(provisional) != 1 {
 		t.Errorf("newest is version %d with marks %v", version, provisional)
 	}
+	if _, none := judgeHosts(api.Marks{Version: 4}, nil); none == nil {
+		t.Error("no marks are told as null, which the operators' page can't list")
+	}
 	for i, want := range []bool{false, true, false, false, false} {
 		if list[i].InForce != want {
 			t.Errorf("%s: in force is %t", list[i].Host, list[i].InForce)
