Drive the agents' line in the random schedules

Cause: admitted attempts may now wait in a line at the agent, which the schedules did not reach. Ruled out: a property of its own, as the line matters only together with withdrawals, restarts and deadlines. Change: the schedules' agents have a line of one, start and refuse from it and take withdrawn attempts out.

--- a/pkg/atmostonce/agent_test.go
+++ b/pkg/atmostonce/agent_test.go
@@ -45,7 +45,7 @@
 		started = time.Time{}
 	}
 	a.gate = admission.New(admission.Config{
-		Upstream: a.name, Incarnation: a.incarnation, Started: started, ClockError: clockError, Warmup: warmup.Config{Min: 2, Max: 2},
+		Upstream: a.name, Incarnation: a.incarnation, Started: started, ClockError: clockError, Line: 1, Warmup: warmup.Config{Min: 2, Max: 2},
 	})
 	a.gate.Observe(warmup.Sample{Incarnation: a.incarnation}, 0, a.now())
 	a.claims = claim.NewBook(a.world.store)
@@ -68,7 +68,9 @@
 	case d.Admitted:
 		r := &run{req: req, waiting: []answer{reply}}
 		a.runs[req.RequestID] = r
-		a.local(func() { a.claim(r) })
+		if !d.Queued {
+			a.local(func() { a.claim(r) })
+		}
 	case d.Attach:
 		a.resume(req.RequestID, reply)
 	default:
@@ -93,7 +95,29 @@
 	if a.world.mutation == noTombstone {
 		return api.OutcomeNotRun
 	}
-	return a.gate.Withdraw(req, a.now())
+	outcome := a.gate.Withdraw(req, a.now())
+	if r := a.runs[req.RequestID]; r != nil && outcome == api.OutcomeNotRun && a.gate.LeaveLine(req.RequestID) {
+		a.refuse(r)
+	}
+	return outcome
+}
+
+// turns starts and refuses what waits for room.
+func (a *agent) turns() {
+	t := a.gate.Turns(a.now())
+	for _, id := range t.Start {
+		r := a.runs[id]
+		a.local(func() { a.claim(r) })
+	}
+	for _, refused := range t.Refuse {
+		a.refuse(a.runs[refused.RequestID])
+	}
+}
+
+// refuse ends a run that waited for room.
+func (a *agent) refuse(r *run) {
+	a.gate.Refuse(r.req.RequestID, r.req.Attempt)
+	a.answer(r, api.OutcomeNotRun)
 }
 
 func (a *agent) claim(r *run) {
@@ -190,6 +214,11 @@
 
 func (a *agent) end(r *run, outcome api.Outcome) {
 	a.gate.Release()
+	a.turns()
+	a.answer(r, outcome)
+}
+
+func (a *agent) answer(r *run, outcome api.Outcome) {
 	r.outcome = outcome
 	for _, reply := range r.waiting {
 		reply(outcome)
--- a/pkg/atmostonce/world_test.go
+++ b/pkg/atmostonce/world_test.go
@@ -140,6 +140,8 @@
 	switch w.rand.IntN(50) {
 	case 0, 5, 6, 7:
 		a.start()
+	case 8, 9, 10:
+		a.turns()
 	case 1:
 		a.offset = w.millis(500) - clockError/2
 	case 2:
