--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/claim"
 	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
+	"github.com/acaciaglade/acaciaglade/pkg/group"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -42,6 +43,9 @@
 	ClockError time.Duration
 	// Heartbeat is the time between heartbeats on idle streams.
 	Heartbeat time.Duration
+	// LeaveDelay is how long the agent still refuses work after it began to
+	// leave.
+	LeaveDelay time.Duration
 	// Orphan is how long an answer that nobody reads is kept running.
 	Orphan time.Duration
 	// SampleInterval is the time between two samples of the upstream.
@@ -52,6 +56,8 @@
 	Reserved int
 	// Warmup is the settings of the admission limit.
 	Warmup warmup.Config
+	// Group is the settings of the upstream's group of ranks, nil when it is none.
+	Group *group.Config
 }
 
 // Agent serves the attempts of entries.
@@ -68,13 +74,14 @@
 	gate *admission.Gate
 	runs map[string]*run
 
-	work sync.WaitGroup
+	work  sync.WaitGroup
+	group *group.Group
 }
 
 // New returns an agent. Run must be called for it to admit work.
 func New(cfg Config, store objects.Store, reg prometheus.Registerer) *Agent {
 	incarnation := uuid.NewString()
-	return &Agent{
+	a := &Agent{
 		cfg:         cfg,
 		incarnation: incarnation,
 		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
@@ -96,10 +103,15 @@
 		}),
 		runs: make(map[string]*run),
 	}
+	a.group = a.newGroup(cfg.Group)
+	return a
 }
 
 // Run samples the upstream and cleans up until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
+	if a.group != nil {
+		go a.group.Run(ctx)
+	}
 	ticker := time.NewTicker(a.cfg.SampleInterval)
 	defer ticker.Stop()
 	for {
@@ -114,7 +126,9 @@
 }
 
 // Drain stops the admission of new work and waits until all running work has
-// ended and been delivered, or ctx ends.
+// ended, at least for the leave delay, or until ctx ends. For the leave delay
+// the agent refuses attempts; an entry that met a closed connection instead
+// could not tell whether its attempt ran.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.gate.Leave()
@@ -123,12 +137,13 @@
 	a.log.Info("leaving; no new work is admitted")
 	done := make(chan struct{})
 	go func() {
+		<-time.After(a.cfg.LeaveDelay)
 		a.work.Wait()
 		close(done)
 	}()
 	select {
 	case <-done:
-		return nil
+		return a.leaveGroup(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -139,9 +154,10 @@
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.SampleInterval)
 	defer cancel()
 	load, err := a.upstream.load(ctx)
+	closed := a.groupClosed()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err != nil {
+	if err != nil || closed {
 		a.gate.Unreachable()
 		a.turns()
 		return
--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -58,9 +58,11 @@
 		UpstreamURL:    s.UpstreamURL,
 		PeerToken:      s.PeerToken,
 		ClockError:     s.ClockError,
+		LeaveDelay:     s.LeaveDelay,
 		Heartbeat:      s.Heartbeat,
 		Orphan:         s.Orphan,
 		SampleInterval: s.SampleInterval,
+		Group:          groupConfig(s),
 		Line:           s.Line,
 		Reserved:       s.Reserved,
 		Warmup: warmup.Config{
