--- a/lab/experiment/overload.go
+++ b/lab/experiment/overload.go
@@ -7,6 +7,7 @@
 
 	"github.com/acaciaglade/acaciaglade/lab/deploy"
 	"github.com/acaciaglade/acaciaglade/lab/load"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
 )
 
 // Shape of the small deployment that is overloaded. Three engines of eight slots
@@ -44,7 +45,7 @@
 	}
 	r := &Result{}
 	goodput := make(map[float64]float64)
-	late := 0
+	late, begun := 0, 0
 	for _, scale := range []float64{0.5, 1, 2} {
 		traffic := []load.Config{chats(scale * overloadCapacity)}
 		v, err := b.drive(ctx, d, fmt.Sprintf("load %g", scale), traffic, []step{{"steady", nil, overloadLasts}})
@@ -55,6 +56,7 @@
 		t := v.total()
 		goodput[scale] = float64(t.Complete) / overloadLasts.Seconds()
 		late += t.Late + t.Failed
+		begun += v.begun()
 	}
 	r.Goals = []Goal{
 		{
@@ -62,10 +64,26 @@
 			Got: fmt.Sprintf("%.0f a second", goodput[2]), Met: goodput[2] >= keptPart*goodput[1],
 		},
 		{Name: "late or failed, of those that were not refused", Want: "0", Got: fmt.Sprint(late), Met: late == 0},
+		{Name: "refused after they had begun (ran: unknown)", Want: "0", Got: fmt.Sprint(begun), Met: begun == 0},
 	}
 	return r, nil
 }
 
+// begun counts the refusals of requests that may have run.
+func (v *Variant) begun() int {
+	n := 0
+	for _, p := range v.Phases {
+		for _, k := range p.Kinds {
+			for _, f := range k.Refusals {
+				if f.Ran != problem.RanNo {
+					n += f.Count
+				}
+			}
+		}
+	}
+	return n
+}
+
 // chats is streamed chats of the large organisation.
 func chats(perSecond float64) load.Config {
 	return load.Config{
