Refuse at once what can't be answered in time, and bound the queues

Cause: a request that could not be served by its deadline was held until it expired, then refused with a fixed Retry-After; and a queue of 38,000 waiting organisations took 276 s for 114,000 arrivals, as each event asked for an upstream for every organisation though none had room.

Ruled out: predicting the wait from the pace of virtual time alone (7% of the refused were held, as an organisation may wait at other entries too; with the organisation's own drain rate it is 1%).

Change: the scheduler refuses on arrival when the predicted wait and the typical run time outlast the deadline, and names the time until the queue is short enough; a total bound on waiting requests; the search for a request that may go stops once no later one can go.

--- a/lab/virtual/result.go
+++ b/lab/virtual/result.go
@@ -42,6 +42,8 @@
 	Completed int `json:"completed"`
 	Late      int `json:"late"`
 	Refused   int `json:"refused"`
+	// Expired is how many of those were refused only after a wait.
+	Expired int `json:"expired"`
 	// Cached counts first tokens whose prefix was cached.
 	Cached int `json:"cached"`
 	// Tokens is the attained service.
@@ -94,6 +96,9 @@
 func (r *Result) refuse(q *request, _ *problem.Problem, now time.Time) {
 	m := r.of(q.organisation)
 	m.Refused++
+	if now.After(q.arrived) {
+		m.Expired++
+	}
 	m.RefusedAfter = max(m.RefusedAfter, now.Sub(q.arrived))
 }
 
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -64,6 +64,7 @@
 			MaxWaiting:        s.MaxWaiting,
 			AvoidAfterFailure: s.AvoidAfter,
 			Horizon:           s.LineHorizon,
+			MaxTotal:          s.MaxWaitingTotal,
 		},
 	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
 	return entry.New(entry.Config{
--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -31,7 +31,8 @@
 	// Prefix is the hash of the prompt's leading blocks, 0 when unknown.
 	Prefix uint64
 
-	flow *flow
+	flow  *flow
+	since time.Time
 }
 
 // Queue holds waiting requests.
@@ -54,8 +55,12 @@
 	virtual      float64
 	used         time.Time
 	items        []*Item
-	arrival      uint64
-	heapIndex    int
+	cost         float64
+	// taken is the cost that was taken so far, drain how fast.
+	taken     float64
+	drain     pace
+	arrival   uint64
+	heapIndex int
 }
 
 // New returns an empty queue.
@@ -92,11 +97,13 @@
 		return
 	}
 	f := q.flow(it.Organisation, it.Weight, now)
-	it.flow = f
+	it.flow, it.since = f, now
+	f.cost += it.Cost
 	if len(f.items) == 0 {
 		q.raise(f)
 		q.arrivals++
 		f.arrival = q.arrivals
+		f.drain = pace{}
 		f.items = append(f.items, it)
 		heap.Push(&q.active, f)
 		return
@@ -104,11 +111,26 @@
 	f.items = append(f.items, it)
 }
 
-// Next returns the first request that may go, or nil. Organisations whose
-// oldest request may not go are passed over.
-func (q *Queue) Next(may func(*Item) bool) *Item {
-	if len(q.priority) > 0 && may(q.priority[0]) {
-		return q.priority[0]
+// Verdict says whether a request may go.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	// Go means that the request goes.
+	Go Verdict = iota
+	// Pass means that requests of other organisations may still go.
+	Pass
+	// Stop means that no later request may go either.
+	Stop
+)
+
+// Next returns the first request that may go, or nil. Only the oldest request of
+// each organisation is asked for.
+func (q *Queue) Next(may func(*Item) Verdict) *Item {
+	if len(q.priority) > 0 {
+		if v := may(q.priority[0]); v != Pass {
+			return chosen(q.priority[0], v)
+		}
 	}
 	var passed []*flow
 	defer func() {
@@ -117,20 +139,30 @@
 		}
 	}()
 	for len(q.active) > 0 {
-		if it := q.active[0].items[0]; may(it) {
-			return it
+		it := q.active[0].items[0]
+		if v := may(it); v != Pass {
+			return chosen(it, v)
 		}
 		passed = append(passed, heap.Pop(&q.active).(*flow))
 	}
 	return nil
 }
 
+func chosen(it *Item, v Verdict) *Item {
+	if v == Go {
+		return it
+	}
+	return nil
+}
+
 // Take removes a request that is sent, sets its Start, and charges its
 // organisation.
-func (q *Queue) Take(it *Item) {
+func (q *Queue) Take(it *Item, now time.Time) {
 	if !it.Priority {
 		it.Start = it.flow.virtual
 		q.charge(it.flow, it.Cost)
+		it.flow.taken += it.Cost
+		it.flow.drain.observe(it.flow.taken, now)
 	}
 	q.Remove(it.ID)
 }
@@ -147,6 +179,7 @@
 		q.priority = without(q.priority, it)
 		return true
 	}
+	it.flow.cost -= it.Cost
 	it.flow.items = without(it.flow.items, it)
 	q.settle(it.flow)
 	return true
--- a/pkg/fairqueue/fairqueue_test.go
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -6,7 +6,14 @@
 	"time"
 )
 
-func anyItem(*Item) bool { return true }
+func anyItem(*Item) Verdict { return Go }
+
+func onlyB(it *Item) Verdict {
+	if it.Organisation == "b" {
+		return Go
+	}
+	return Pass
+}
 
 // serve takes n requests and returns the cost that each organisation attained.
 // Each request starts as soon as it is taken.
@@ -17,7 +24,7 @@
 		if it == nil {
 			break
 		}
-		q.Take(it)
+		q.Take(it, now)
 		q.Advance(it.Start, now)
 		attained[it.Organisation] += it.Cost
 	}
@@ -76,7 +83,7 @@
 	q := New()
 	fill(q, "a", 1, 1, 10, now)
 	fill(q, "b", 1, 1, 10, now)
-	if it := q.Next(func(it *Item) bool { return it.Organisation == "b" }); it == nil || it.Organisation != "b" {
+	if it := q.Next(onlyB); it == nil || it.Organisation != "b" {
 		t.Fatalf("got %v, want b", it)
 	}
 	q.Push(&Item{ID: "p", Organisation: "p", Priority: true, Deadline: now.Add(time.Minute)}, now)
--- a/pkg/fairqueue/pace.go
+++ b/pkg/fairqueue/pace.go
@@ -5,10 +5,10 @@
 // paceInterval is the time over which the pace of virtual time is measured.
 const paceInterval = 250 * time.Millisecond
 
-// pace measures how fast virtual time advances.
+// pace measures how fast a sum advances.
 type pace struct {
 	perSecond float64
-	virtual   float64
+	sum       float64
 	since     time.Time
 }
 
@@ -27,19 +27,35 @@
 	return time.Duration((it.flow.virtual - q.virtual) / q.pace.perSecond * float64(time.Second))
 }
 
-func (p *pace) observe(virtual float64, now time.Time) {
+// Wait returns how long a new request of an organisation would wait behind those
+// that wait already, at the pace at which requests start now. It
+// is 0 when the organisation has not waited long enough to tell.
+func (q *Queue) Wait(organisation string, weight int, now time.Time) time.Duration {
+	f, ok := q.flows[organisation]
+	if !ok || len(f.items) == 0 || now.Sub(f.items[0].since) < paceInterval || q.pace.perSecond <= 0 {
+		return 0
+	}
+	ahead := (f.virtual + f.cost/float64(max(1, weight)) - q.virtual) / q.pace.perSecond
+	if f.drain.perSecond > 0 {
+		// The organisation may wait at other entries too.
+		ahead = max(ahead, f.cost/f.drain.perSecond)
+	}
+	return time.Duration(ahead * float64(time.Second))
+}
+
+func (p *pace) observe(sum float64, now time.Time) {
 	if p.since.IsZero() {
-		p.since, p.virtual = now, virtual
+		p.since, p.sum = now, sum
 		return
 	}
 	elapsed := now.Sub(p.since)
 	if elapsed < paceInterval {
 		return
 	}
-	latest := (virtual - p.virtual) / elapsed.Seconds()
+	latest := (sum - p.sum) / elapsed.Seconds()
 	if p.perSecond == 0 {
 		p.perSecond = latest
 	}
 	p.perSecond += (latest - p.perSecond) / 2
-	p.since, p.virtual = now, virtual
+	p.since, p.sum = now, sum
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -21,6 +21,9 @@
 	// MaxWaiting is the most requests that one organisation may have waiting
 	// for one service.
 	MaxWaiting int
+	// MaxTotal is the most requests that may wait for one service. Beyond it an
+	// organisation may have only one. 0 means no limit.
+	MaxTotal int
 	// AvoidAfterFailure is how long an upstream is passed over after a failure.
 	AvoidAfterFailure time.Duration
 	// Horizon is how long before its turn a request may be sent to wait in an
@@ -66,6 +69,7 @@
 	queue      *fairqueue.Queue
 	shares     *shares.View
 	candidates []selection.Candidate
+	runTime    runTime
 }
 
 // New returns an empty scheduler.
@@ -82,8 +86,8 @@
 // Arrive queues a request and returns the grants that follow.
 func (s *Scheduler) Arrive(r Request, now time.Time) []Grant {
 	svc := s.service(r.Service)
-	if !r.Priority && svc.queue.Waiting(r.Organisation) >= s.cfg.MaxWaiting {
-		return []Grant{{ID: r.ID, Refusal: problem.New(problem.ReasonQueueFull, "")}}
+	if p := s.refusal(svc, &r, now); p != nil {
+		return []Grant{{ID: r.ID, Refusal: p}}
 	}
 	svc.queue.Push(&fairqueue.Item{
 		ID:           r.ID,
@@ -146,7 +150,7 @@
 func (s *Scheduler) Tick(now time.Time) []Grant {
 	var grants []Grant
 	for _, svc := range s.services {
-		for _, it := range svc.queue.Expire(now) {
+		for _, it := range svc.queue.Expire(now.Add(svc.runTime.typical)) {
 			grants = append(grants, Grant{ID: it.ID, Refusal: problem.New(problem.ReasonDeadlineExceeded, "")})
 		}
 		grants = append(grants, s.grants(svc, now)...)
@@ -183,7 +187,7 @@
 	var grants []Grant
 	for {
 		chosen := -1
-		it := svc.queue.Next(func(it *fairqueue.Item) bool {
+		it := svc.queue.Next(func(it *fairqueue.Item) fairqueue.Verdict {
 			work := selection.Work{
 				Organisation: it.Organisation,
 				Priority:     it.Priority,
@@ -191,15 +195,22 @@
 				RoomOnly:     svc.queue.Ahead(it) > s.cfg.Horizon,
 			}
 			chosen = s.policy.Choose(svc.candidates, work, now)
-			return chosen >= 0
+			switch {
+			case chosen >= 0:
+				return fairqueue.Go
+			case work.RoomOnly || !s.policy.Open(svc.candidates, now):
+				return fairqueue.Stop
+			default:
+				return fairqueue.Pass
+			}
 		})
 		if it == nil {
 			return grants
 		}
-		svc.queue.Take(it)
+		svc.queue.Take(it, now)
 		c := candidate{&svc.candidates[chosen]}
 		c.send(it.Organisation, it.Priority)
-		s.sent[it.ID] = &sent{service: svc, upstream: c.Report.Upstream, organisation: it.Organisation}
+		s.sent[it.ID] = &sent{service: svc, upstream: c.Report.Upstream, organisation: it.Organisation, at: now}
 		grants = append(grants, Grant{ID: it.ID, Upstream: c.Report, Virtual: it.Start})
 	}
 }
--- a/pkg/scheduler/sent.go
+++ b/pkg/scheduler/sent.go
@@ -12,6 +12,7 @@
 	upstream     string
 	organisation string
 	started      bool
+	at           time.Time
 }
 
 // Started records that the upstream has started to answer an attempt, and
@@ -40,6 +41,9 @@
 	if !a.started {
 		c.start(a.organisation)
 	}
+	if !failed {
+		a.service.runTime.observe(now.Sub(a.at))
+	}
 	if failed {
 		c.AvoidUntil = now.Add(s.cfg.AvoidAfterFailure)
 		c.Suspect = true
--- a/pkg/selection/candidate.go
+++ b/pkg/selection/candidate.go
@@ -72,6 +72,17 @@
 	return lined
 }
 
+// Open reports whether any candidate has free room or a place in its line.
+func (l Limits) Open(candidates []Candidate, now time.Time) bool {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.usable(now, l.MaxAge) && (c.Pending < c.Report.Limit || c.occupied(Work{}) < c.room(Work{})) {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the candidate takes any work.
 func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
 	r := &c.Report
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -12,6 +12,8 @@
 type Policy interface {
 	// Choose returns the index of a candidate, or -1 when none can take work.
 	Choose(candidates []Candidate, w Work, now time.Time) int
+	// Open reports whether any candidate can take any work.
+	Open(candidates []Candidate, now time.Time) bool
 }
 
 // TwoChoices is a Policy that takes the less loaded of two random candidates.
@@ -40,6 +42,11 @@
 	return a
 }
 
+// Open implements Policy.
+func (p *TwoChoices) Open(candidates []Candidate, now time.Time) bool {
+	return p.Limits.Open(candidates, now)
+}
+
 // leastLoaded returns the least loaded of the eligible candidates, a random one
 // of those that are equal.
 func leastLoaded(candidates []Candidate, eligible []int, w Work, r *rand.Rand) int {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -49,6 +49,7 @@
 	DefaultDeadline     time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
 	MaxDeadline         time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
 	MaxWaiting          int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
+	MaxWaitingTotal     int           `long:"max-waiting-total" env:"ACACIAGLADE_MAX_WAITING_TOTAL" default:"16384" description:"Requests that may wait for one service at this entry; beyond it each organisation may have one."`
 	LinePerOrganisation int           `long:"line-per-organisation" env:"ACACIAGLADE_LINE_PER_ORGANISATION" default:"2" description:"Requests of one organisation that this entry may have waiting beside one busy upstream."`
 	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"150ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
 	CeilingBurst        time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
@@ -154,6 +155,7 @@
 	c.require(s.MaxWaiting > 0, "max-waiting", "give a number above 0")
 	c.require(s.LinePerOrganisation >= 0, "line-per-organisation", "give a number of at least 0")
 	c.require(s.LineHorizon >= 0, "line-horizon", "give a time of at least 0")
+	c.require(s.MaxWaitingTotal > 0, "max-waiting-total", "give a number above 0")
 	c.positive(s.CeilingBurst, "ceiling-burst")
 	c.positive(s.Silence, "silence")
 	c.positive(s.AskTimeout, "ask-timeout")
