--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -36,6 +36,13 @@
 	Entries        int
 	Models         int
 	Orders         int
+	// Ranks is the number of ranks of a group of the model service, each with an
+	// agent and a process of its own. 0 starts no group.
+	Ranks int
+	// RankArgs are added to the commands of ranks, MemberArgs to those of their
+	// agents.
+	RankArgs   []string
+	MemberArgs []string
 	// HostListLag is the lag of the host list.
 	HostListLag time.Duration
 	// Links puts a link between each entry and everything it calls, and between
@@ -45,8 +52,10 @@
 	Table table.Table
 	// EngineArgs, AgentArgs and EntryArgs are added to the commands.
 	EngineArgs []string
-	AgentArgs  []string
-	EntryArgs  []string
+	// OrderArgs is added to the commands of order services.
+	OrderArgs []string
+	AgentArgs []string
+	EntryArgs []string
 }
 
 // Names of services in deployments.
@@ -89,6 +98,9 @@
 	Entries   []*Process
 	Agents    []*Process
 	Upstreams []*Process
+	// Ranks and Members are the processes of a group and of their agents.
+	Ranks   []*Process
+	Members []*Process
 
 	bin       string
 	logs      string
@@ -139,6 +151,9 @@
 			return err
 		}
 	}
+	if err := d.addGroup(); err != nil {
+		return err
+	}
 	for i := range d.Shape.Entries {
 		if err := d.addEntry(i); err != nil {
 			return err
@@ -157,7 +172,7 @@
 // addUpstream starts an upstream and its agent.
 func (d *Deployment) addUpstream(i int, service string, model bool) error {
 	name := fmt.Sprintf("%s-%d", service, i)
-	args := []string{"orders"}
+	args := append([]string{"orders"}, d.Shape.OrderArgs...)
 	if model {
 		args = append([]string{"engine"}, d.Shape.EngineArgs...)
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -45,6 +45,8 @@
 	OperatorToken string
 	// MaxBodyBytes is the largest body of a request.
 	MaxBodyBytes int64
+	// LeaveDelay is how long the entry stays reachable after it began to leave.
+	LeaveDelay time.Duration
 	// CeilingBurst is the time for which an unused ceiling can be saved up.
 	CeilingBurst time.Duration
 	// Deadline and Attempt are the settings of the filters.
@@ -80,7 +82,8 @@
 		registry: reg,
 		log:      logging.For("entry"),
 	}
-	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f)
+	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f, entries, agents)
+	store.RegisterMetrics(reg)
 	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
 	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
@@ -90,8 +93,19 @@
 	return e
 }
 
-// Stop makes the entry refuse new requests. Running ones go on.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Leave makes the entry not ready and refuse new requests. It returns after the
+// leave delay, by which the balancer sends no more callers. Running requests go
+// on.
+func (e *Entry) Leave(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.log.Info("leaving; new callers are refused")
+	select {
+	case <-time.After(e.cfg.LeaveDelay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 // Register adds the entry's routes to an HTTP server.
 func (e *Entry) Register(s *echo.Echo) {
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/url"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Spent-r.Cost)
 	}()
 	for {
-		upstream, err := queue.Acquire(ctx, f.fleet, r)
+		upstream, err := j.acquire(ctx)
 		if err != nil {
 			return j.queueRefusal(err)
 		}
@@ -94,6 +95,20 @@
 	}
 }
 
+// rerunWait is how long a caller that has a part of an answer waits for another
+// upstream before the answer is broken off.
+const rerunWait = time.Second
+
+// acquire waits for an upstream for the next attempt.
+func (j *job) acquire(ctx context.Context) (fleet.Upstream, error) {
+	if j.state.Relayed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, rerunWait)
+		defer cancel()
+	}
+	return queue.Acquire(ctx, j.fleet, j.request)
+}
+
 func (f *filter) next(state *retry.Request, event retry.EventKind) retry.Action {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -116,10 +131,7 @@
 func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
 	j.attempts++
 	j.refusal = nil
-	if !j.state.Relayed {
-		j.verifier = stream.NewVerifier(j.request.ID)
-		j.request.Reply.Restart()
-	}
+	j.begin()
 	failed := true
 	defer func() { j.fleet.Release(j.request.ID, failed) }()
 	event, err := j.send(ctx, u)
@@ -128,6 +140,8 @@
 			err = problem.New(problem.ReasonCallerGone, "")
 		}
 		if err != nil {
+			// The caller's end failed, not the upstream.
+			failed = false
 			j.abandon(u, j.attempts)
 			return retry.Done, err
 		}
@@ -153,12 +167,23 @@
 	}
 }
 
+// begin prepares for an answer that begins at its first frame. What the caller
+// already has is not relayed again.
+func (j *job) begin() {
+	if j.state.Relayed {
+		j.verifier.Rerun()
+		return
+	}
+	j.verifier = stream.NewVerifier(j.request.ID)
+	j.request.Reply.Restart()
+}
+
 // send sends the attempt and relays its answer.
 func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	r := j.request
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	timer := time.AfterFunc(j.silence(), cancel)
 	defer timer.Stop()
 	body, err := j.agents.Attempt(ctx, u.Address, &api.AttemptRequest{
 		RequestID:         r.ID,
@@ -188,19 +213,18 @@
 	return j.relay(body, timer)
 }
 
-// upstreamPath returns the path and query of the upstream's call.
+// upstreamPath returns the path and query of the upstream's call. The path is
+// encoded, so that the upstream decodes it to the one that was judged.
 func upstreamPath(r *pipe.Request) string {
-	if r.Query == "" {
-		return r.Path
-	}
-	return r.Path + "?" + r.Query
+	u := url.URL{Path: r.Path, RawQuery: r.Query}
+	return u.RequestURI()
 }
 
 // resume reads the answer on from where it stopped, on a new connection.
 func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.cfg.Silence, cancel)
+	timer := time.AfterFunc(j.silence(), cancel)
 	defer timer.Stop()
 	body, err := j.agents.Resume(ctx, u.Address, j.request.ID, j.verifier.Next())
 	if err != nil {
@@ -220,7 +244,7 @@
 // ask asks the agent for the state of the request. A question that failed is
 // repeated a few times, as the connection may have broken for a moment only.
 func (j *job) ask(u fleet.Upstream) retry.EventKind {
-	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
 	defer cancel()
 	for try := 1; ; try++ {
 		outcome, err := j.agents.Withdraw(ctx, u.Address, &api.WithdrawRequest{
@@ -259,6 +283,9 @@
 	if !j.state.MaybeRan {
 		return err
 	}
+	if j.state.Relayed {
+		return j.problem(retry.BreakOff)
+	}
 	return j.problem(retry.RefuseUnknown)
 }
 
--- a/pkg/selection/candidate.go
+++ b/pkg/selection/candidate.go
@@ -30,6 +30,8 @@
 	// upstream that can't be reached is not chosen on the strength of an old
 	// report.
 	Suspect bool
+	// Gone is true once the upstream has left the host list.
+	Gone bool
 }
 
 // Work is what a policy knows of a request.
@@ -86,7 +88,7 @@
 // usable reports whether the candidate takes any work.
 func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
 	r := &c.Report
-	if c.Out || r.Leaving || !r.Ready || c.Suspect || now.Before(c.AvoidUntil) {
+	if c.Out || c.Gone || r.Leaving || !r.Ready || c.Suspect || now.Before(c.AvoidUntil) {
 		return false
 	}
 	return now.Sub(c.ReceivedAt) <= maxAge
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,7 +30,8 @@
 	PeerToken     string        `long:"peer-token" env:"ACACIAGLADE_PEER_TOKEN" description:"Shared secret of calls between the system's own processes, at least 16 characters. Required."`
 	ObjectAPI     string        `long:"object-api" env:"ACACIAGLADE_OBJECT_API" description:"Base URL of the platform's object API. Required."`
 	ObjectTimeout time.Duration `long:"object-timeout" env:"ACACIAGLADE_OBJECT_TIMEOUT" default:"2s" description:"Longest wait for one answer of the object API."`
-	StopTimeout   time.Duration `long:"stop-timeout" env:"ACACIAGLADE_STOP_TIMEOUT" default:"60s" description:"Longest wait for running requests at a planned stop."`
+	StopTimeout   time.Duration `long:"stop-timeout" env:"ACACIAGLADE_STOP_TIMEOUT" default:"11m" description:"Longest wait for running requests at a planned stop. Give more than the longest time limit of a request, so that none is cut off."`
+	LeaveDelay    time.Duration `long:"leave-delay" env:"ACACIAGLADE_LEAVE_DELAY" default:"2s" description:"Shortest time for which a leaving process still answers and refuses new work. Give an entry more than the interval of the balancer's checks, and an agent at least the entries' --max-report-age, after which none of them sends to it."`
 	ClockError    time.Duration `long:"clock-error" env:"ACACIAGLADE_CLOCK_ERROR" default:"500ms" description:"Largest difference between the clocks of two hosts."`
 	Logs          Logs          `group:"Logs"`
 	TLS           TLS           `group:"TLS"`
@@ -44,7 +45,7 @@
 	HostsInterval       time.Duration `long:"hosts-interval" env:"ACACIAGLADE_HOSTS_INTERVAL" default:"2s" description:"Time between two reads of the host list."`
 	ReportInterval      time.Duration `long:"report-interval" env:"ACACIAGLADE_REPORT_INTERVAL" default:"250ms" description:"Time between two reports of an agent."`
 	MaxReportAge        time.Duration `long:"max-report-age" env:"ACACIAGLADE_MAX_REPORT_AGE" default:"2s" description:"Age beyond which a report is not used to choose an upstream."`
-	SubsetSize          int           `long:"subset-size" env:"ACACIAGLADE_SUBSET_SIZE" default:"0" description:"Upstreams that this entry takes, from all failure domains alike. 0 takes all. All entries need the same value."`
+	SubsetSize          int           `long:"subset-size" env:"ACACIAGLADE_SUBSET_SIZE" default:"0" description:"Upstreams of each service that this entry takes, from all failure domains alike. 0 takes all. All entries need the same value."`
 	MaxBodyBytes        int64         `long:"max-body-bytes" env:"ACACIAGLADE_MAX_BODY_BYTES" default:"1048576" description:"Largest body of a request, in bytes."`
 	DefaultDeadline     time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
 	MaxDeadline         time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
@@ -75,6 +76,7 @@
 	Reserved       int           `long:"reserved" env:"ACACIAGLADE_RESERVED" default:"0" description:"Part of the room that only priority organisations may use, in requests."`
 	HealthyStep    time.Duration `long:"healthy-step" env:"ACACIAGLADE_HEALTHY_STEP" default:"27ms" description:"Longest step time of a healthy upstream."`
 	GrowEvery      time.Duration `long:"grow-every" env:"ACACIAGLADE_GROW_EVERY" default:"200ms" description:"Shortest time between two increases of the room."`
+	Group          Group         `group:"Rank group"`
 }
 
 // Fault is one bad setting.
@@ -100,6 +102,12 @@
 // minSecretLength is the shortest secret that is accepted, in characters.
 const minSecretLength = 16
 
+// Largest values, which keep attempts within what agents accept.
+const (
+	maxBodyBytes = 32 << 20
+	maxDeadline  = 12 * time.Hour
+)
+
 // Accepted values of the log settings.
 var (
 	logFormats = []string{"text", "json"}
@@ -135,6 +143,7 @@
 	c.require(slices.Contains(logFormats, s.Logs.Format), "log-format", "give one of: "+strings.Join(logFormats, " "))
 	c.require(slices.Contains(logLevels, s.Logs.Level), "log-level", "give one of: "+strings.Join(logLevels, " "))
 	c.positive(s.StopTimeout, "stop-timeout")
+	c.require(s.LeaveDelay >= 0 && s.LeaveDelay < s.StopTimeout, "leave-delay", "give a time of at least 0 and below --stop-timeout")
 	c.require(s.ClockError >= 0, "clock-error", "give a time of at least 0")
 	c.require((s.TLS.Certificate == "") == (s.TLS.Key == ""), "tls-key", "give both --tls-certificate and --tls-key, or neither")
 }
@@ -149,9 +158,10 @@
 	c.positive(s.ReportInterval, "report-interval")
 	c.require(s.MaxReportAge > s.ReportInterval, "max-report-age", "give a time above --report-interval")
 	c.require(s.SubsetSize >= 0, "subset-size", "give 0 for all, or at least 12 so that every upstream is taken")
-	c.require(s.MaxBodyBytes > 0, "max-body-bytes", "give a number above 0")
+	c.require(s.MaxBodyBytes > 0 && s.MaxBodyBytes <= maxBodyBytes, "max-body-bytes", "give a number from 1 to 33554432")
 	c.positive(s.DefaultDeadline, "default-deadline")
-	c.require(s.MaxDeadline >= s.DefaultDeadline, "max-deadline", "give at least --default-deadline")
+	c.require(s.MaxDeadline >= s.DefaultDeadline && s.MaxDeadline <= maxDeadline, "max-deadline", "give at least --default-deadline and at most 12h")
+	c.require(s.StopTimeout > s.MaxDeadline, "stop-timeout", "give a time above --max-deadline, so that a stop cuts off no request")
 	c.require(s.MaxWaiting > 0, "max-waiting", "give a number above 0")
 	c.require(s.LinePerOrganisation >= 0, "line-per-organisation", "give a number of at least 0")
 	c.require(s.LineHorizon >= 0, "line-horizon", "give a time of at least 0")
@@ -180,6 +190,7 @@
 	c.require(s.MaxRoom >= s.MinRoom, "max-room", "give at least --min-room")
 	c.positive(s.HealthyStep, "healthy-step")
 	c.positive(s.GrowEvery, "grow-every")
+	c.group(&s.Group)
 	return c.err()
 }
 
