Sense cold upstreams by the steps that agents time themselves

Change: the agent times the parts of answers; three slow steps in a row, or a broken call, lower the limit at once, and it grows only after healthy steps. All answers of one batch count as one step.

--- /dev/null
+++ b/lab/virtual/cold.go
@@ -0,0 +1,43 @@
+package virtual
+
+import "time"
+
+// Limit is a way to limit the work of an upstream.
+type Limit string
+
+// Ways that are compared.
+const (
+	// Sensed grows and falls with the steps that the agent times.
+	Sensed Limit = "sensed"
+	// TimedRamp grows with time and falls on the engine's lagging report only.
+	TimedRamp Limit = "timed-ramp"
+	// FixedLimit never changes.
+	FixedLimit Limit = "fixed"
+)
+
+// coldAt is when something happens to the first upstream.
+const coldAt = 15 * time.Second
+
+// ColdConfig is a fleet of few upstreams, busy but not saturated, of which the
+// first turns cold, restarts or stops.
+func ColdConfig(seed uint64, limit Limit, kind EventKind) Config {
+	cfg := SharesConfig(seed)
+	cfg.Upstreams = 3
+	cfg.Events = []Event{{At: coldAt, Kind: kind}}
+	for i := range cfg.Organisations {
+		o := &cfg.Organisations[i]
+		o.Outstanding = 0
+		o.Rate = 0.85 * capacityRequests / 4 / float64(len(cfg.Organisations))
+		o.Deadline = 5 * time.Second
+	}
+	switch limit {
+	case TimedRamp:
+		cfg.Unsensed = true
+		cfg.Warmup.HealthyStep = time.Hour
+		cfg.Warmup.GrowEvery = 800 * time.Millisecond
+	case FixedLimit:
+		cfg.Unsensed = true
+		cfg.Warmup.Min = cfg.Warmup.Max
+	}
+	return cfg
+}
--- a/lab/virtual/result.go
+++ b/lab/virtual/result.go
@@ -24,12 +24,18 @@
 	Fallen  int `json:"fallen"`
 	Lost    int `json:"lost"`
 	Swapped int `json:"swapped"`
+	// Excess counts requests that cold engines got beyond what they bear.
+	Excess int `json:"excess"`
 	// Goodput is the tokens a second of answers that ended in time.
 	Goodput float64 `json:"goodput_tokens_per_second"`
 	// ShareBytes is the bytes of attained service an entry and an agent exchange
 	// in a second, in both directions.
 	ShareBytes float64 `json:"share_bytes_per_second_and_pair"`
 
+	// Recovered is how long after the first event its upstream was warm again
+	// with at least half of its room.
+	Recovered time.Duration `json:"recovered_ns"`
+
 	start time.Time
 	cfg   Config
 	bytes int
@@ -122,6 +128,7 @@
 		r.Fallen += u.engine.fallen
 		r.Lost += u.engine.lost
 		r.Swapped += u.engine.swapped
+		r.Excess += u.engine.excess
 	}
 	seconds := r.cfg.Duration.Seconds()
 	r.Goodput = r.good / seconds
--- a/pkg/agent/execute.go
+++ b/pkg/agent/execute.go
@@ -33,9 +33,9 @@
 	ctx, cancel := context.WithDeadline(ctx, callDeadline(req))
 	defer cancel()
 	var kept bytes.Buffer
-	status, contentType, err := a.upstream.call(ctx, req, r, &kept)
+	status, contentType, err := a.upstream.call(ctx, req, &stepTimer{run: r, agent: a}, &kept)
 	if err != nil {
-		a.failed(req, r, handle, err)
+		a.failed(ctx, req, r, handle, err)
 		return
 	}
 	a.complete(handle, claim.Answer{Status: status, ContentType: contentType, Body: kept.Bytes()})
@@ -53,8 +53,11 @@
 }
 
 // failed ends an attempt whose call of the upstream failed.
-func (a *Agent) failed(req *api.AttemptRequest, r *run, handle *claim.Handle, err error) {
+func (a *Agent) failed(ctx context.Context, req *api.AttemptRequest, r *run, handle *claim.Handle, err error) {
 	a.log.WithError(err).WithField("request", req.RequestID).Warn("upstream call failed")
+	if ctx.Err() == nil {
+		a.broken()
+	}
 	if errors.Is(err, errNotSent) {
 		a.finish(req, admission.NotSent)
 		a.settle(handle, a.claims.Release)
--- a/pkg/warmup/warmup.go
+++ b/pkg/warmup/warmup.go
@@ -29,12 +29,27 @@
 	Running int
 }
 
+// Signs that are taken from the steps that the agent itself times.
+const (
+	// stepsToGrow is how many healthy steps in a row an increase needs.
+	stepsToGrow = 8
+	// stepsToFall is how many slow steps in a row make the limit fall.
+	stepsToFall = 3
+	// coldRatio is how much longer than a healthy step a cold one takes at least.
+	coldRatio = 1.5
+)
+
 // Limiter holds the limit of one upstream.
 type Limiter struct {
 	cfg         Config
 	limit       int
 	incarnation string
 	lastGrowth  time.Time
+	// healthy and slow count own steps in a row; timed is true once there was one.
+	healthy int
+	slow    int
+	timed   bool
+	stepAt  time.Time
 }
 
 // New returns a limiter at the lowest limit.
@@ -45,6 +60,35 @@
 // Limit returns how many requests may run at once.
 func (l *Limiter) Limit() int { return l.limit }
 
+// Step takes the time of one step as the agent saw it on an answer. Unlike the
+// upstream's own report it doesn't lag. All answers of a batch show the same step;
+// only the first counts.
+func (l *Limiter) Step(took time.Duration, now time.Time) {
+	if now.Sub(l.stepAt) < took/2 {
+		return
+	}
+	l.timed, l.stepAt = true, now
+	if took <= l.cfg.HealthyStep {
+		l.healthy++
+		l.slow = 0
+		return
+	}
+	l.healthy = 0
+	l.slow++
+	if l.slow < stepsToFall {
+		return
+	}
+	if float64(took) > coldRatio*float64(l.cfg.HealthyStep) {
+		l.reset(now)
+		return
+	}
+	l.halve(now)
+}
+
+// Broken records that a call of the upstream broke off, so that it may have
+// restarted.
+func (l *Limiter) Broken(now time.Time) { l.reset(now) }
+
 // Observe adapts the limit to a sample.
 func (l *Limiter) Observe(s Sample, now time.Time) {
 	if s.Incarnation != "" && s.Incarnation != l.incarnation {
@@ -56,18 +100,31 @@
 		l.reset(now)
 		return
 	}
-	if s.Step > l.cfg.HealthyStep {
-		l.limit = max(l.cfg.Min, l.limit/2)
-		l.lastGrowth = now
+	if s.Step > l.cfg.HealthyStep && !l.timed {
+		l.halve(now)
 		return
 	}
-	if s.Running >= l.limit && now.Sub(l.lastGrowth) >= l.cfg.GrowEvery {
+	if s.Running >= l.limit && l.mayGrow(now) {
 		l.limit = min(l.cfg.Max, l.limit+max(1, l.limit/2))
 		l.lastGrowth = now
+		l.healthy = 0
 	}
 }
 
+// mayGrow reports whether enough healthy steps and time have passed.
+func (l *Limiter) mayGrow(now time.Time) bool {
+	if now.Sub(l.lastGrowth) < l.cfg.GrowEvery {
+		return false
+	}
+	return !l.timed || l.healthy >= stepsToGrow
+}
+
+func (l *Limiter) halve(now time.Time) {
+	l.limit = max(l.cfg.Min, l.limit/2)
+	l.lastGrowth, l.slow = now, 0
+}
+
 func (l *Limiter) reset(now time.Time) {
 	l.limit = l.cfg.Min
-	l.lastGrowth = now
+	l.lastGrowth, l.healthy, l.slow = now, 0, 0
 }
