Route prompts near their cached prefixes, and add "lab virtual"

Cause: two random choices found a prompt's prefix in an engine's cache one time in five, so prompts were computed again and first tokens waited behind that.

Ruled out: least load (the same hits); a slack of 0.5 above the mean load (5% more hits, but the busiest upstream gets 1.35 times the mean and the p99 grows again); cache events as a guide, which come late and with gaps.

Change: selection.PrefixNear prefers upstreams by rendezvous hashing of the prompt's first 256 to 1,024 bytes, while their load is at most a quarter above the mean; entries use it. A request goes to a busy upstream's line at most 80 ms before its turn, instead of 150 ms.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -18,6 +18,7 @@
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
 	"github.com/acaciaglade/acaciaglade/lab/slope"
+	"github.com/acaciaglade/acaciaglade/lab/virtual"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
 )
 
@@ -106,6 +107,7 @@
 		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
 		{"maps", "Measure policies of expert maps in virtual time", &maps.Command{}},
+		{"virtual", "Run the decisions in virtual time", &virtual.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
 		{"slope", "Measure how use grows with one size", &slope.Command{}},
--- /dev/null
+++ b/lab/virtual/command.go
@@ -0,0 +1,75 @@
+package virtual
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// names lists all runs.
+func names() map[string]func(seed uint64) Config {
+	runs := map[string]func(seed uint64) Config{
+		"shares": SharesConfig,
+		"shares-not-exchanged": func(seed uint64) Config {
+			cfg := SharesConfig(seed)
+			cfg.NoShares = true
+			return cfg
+		},
+		"priority-idle": func(seed uint64) Config { return PriorityConfig(seed, Neither, false) },
+	}
+	for _, way := range Ways() {
+		runs["priority-"+string(way)] = func(seed uint64) Config { return PriorityConfig(seed, way, true) }
+	}
+	for _, times := range []float64{0.5, 1, 2, 5} {
+		runs[fmt.Sprintf("overload-%g", times)] = func(seed uint64) Config { return OverloadConfig(seed, times) }
+	}
+	for _, limit := range []Limit{Sensed, TimedRamp, FixedLimit} {
+		runs["cold-"+string(limit)] = func(seed uint64) Config { return ColdConfig(seed, limit, Chill) }
+		runs["restart-"+string(limit)] = func(seed uint64) Config { return ColdConfig(seed, limit, Restart) }
+		runs["stop-"+string(limit)] = func(seed uint64) Config { return ColdConfig(seed, limit, Stop) }
+	}
+	for _, routing := range []Routing{LeastLoad, TwoChoices, PrefixNear} {
+		runs["routing-"+string(routing)] = func(seed uint64) Config { return PrefixConfig(seed, routing, 0.25) }
+	}
+	return runs
+}
+
+// Command runs one of the runs and prints what it measured.
+type Command struct {
+	Seed uint64 `long:"seed" default:"1" description:"Seed of all randomness."`
+	JSON bool   `long:"json" description:"Print all figures as JSON."`
+	Args struct {
+		Name string `positional-arg-name:"NAME" description:"Name of the run."`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	runs := names()
+	config, ok := runs[c.Args.Name]
+	if !ok {
+		known := make([]string, 0, len(runs))
+		for name := range runs {
+			known = append(known, name)
+		}
+		slices.Sort(known)
+		return errors.Errorf("unknown run %q; give one of: %s", c.Args.Name, strings.Join(known, " "))
+	}
+	r := Run(config(c.Seed))
+	if c.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return errors.WithStack(encoder.Encode(r))
+	}
+	fmt.Printf("goodput %.0f tokens/s, fell over %d, lost %d, excess %d\n", r.Goodput, r.Fallen, r.Lost, r.Excess)
+	for _, o := range r.cfg.Organisations {
+		m := r.of(&o)
+		fmt.Printf("%-8s weight %d: %.0f tokens, completed %d, late %d, refused %d, first token p50 %s p99 %s\n",
+			o.Name, o.Weight, m.Tokens, m.Completed, m.Late, m.Refused, m.FirstToken50, m.FirstToken99)
+	}
+	return nil
+}
--- a/lab/virtual/engine.go
+++ b/lab/virtual/engine.go
@@ -53,6 +53,8 @@
 	lost   int
 	// swapped counts requests that were swapped out for priority work.
 	swapped int
+	// got counts all requests.
+	got int
 	// excess counts requests that a cold engine got beyond what it bears.
 	excess       int
 	tooMuchSince time.Time
@@ -93,6 +95,7 @@
 
 // add gives the engine a request.
 func (e *engine) add(r *request) {
+	e.got++
 	r.prefill = e.uncached(r)
 	if e.coldSteps > 0 && len(e.running)+len(e.waiting) >= e.cfg.ColdSlots {
 		e.excess++
--- /dev/null
+++ b/lab/virtual/prefix_test.go
@@ -0,0 +1,31 @@
+package virtual
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPrefixNear compares routing near cached prefixes with least load and two
+// choices: it must hit the caches more often and not be slower.
+func TestPrefixNear(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		hits, slowest := make(map[Routing]float64), make(map[Routing]time.Duration)
+		for _, routing := range []Routing{LeastLoad, TwoChoices, PrefixNear} {
+			r := Run(PrefixConfig(seed, routing, 0.25))
+			cached, first := 0, 0
+			for _, m := range r.Organisations {
+				cached += m.Cached
+				first += len(m.firsts)
+				slowest[routing] = max(slowest[routing], m.FirstToken99)
+			}
+			hits[routing] = float64(cached) / float64(first)
+			t.Logf("seed %d %-11s hits %.1f%%, p99 %s, busiest %.2f times the mean, goodput %.0f",
+				seed, routing, 100*hits[routing], slowest[routing], r.MaxLoad, r.Goodput)
+		}
+		for _, other := range []Routing{LeastLoad, TwoChoices} {
+			if hits[PrefixNear] <= hits[other] || slowest[PrefixNear] > slowest[other] {
+				t.Errorf("seed %d: not better than %s", seed, other)
+			}
+		}
+	}
+}
--- a/lab/virtual/result.go
+++ b/lab/virtual/result.go
@@ -32,6 +32,9 @@
 	// in a second, in both directions.
 	ShareBytes float64 `json:"share_bytes_per_second_and_pair"`
 
+	// MaxLoad is how many times the mean number of requests the busiest upstream
+	// got.
+	MaxLoad float64 `json:"max_load"`
 	// Recovered is how long after the first event its upstream was warm again
 	// with at least half of its room.
 	Recovered time.Duration `json:"recovered_ns"`
@@ -81,6 +84,9 @@
 }
 
 func (r *Result) first(q *request, now time.Time) {
+	if now.Sub(r.start) < r.cfg.MeasureFrom {
+		return
+	}
 	m := r.of(q.organisation)
 	m.firsts = append(m.firsts, now.Sub(q.arrived))
 	if q.cached {
@@ -124,12 +130,16 @@
 		m.FirstToken50 = percentile(m.firsts, 0.50)
 		m.FirstToken99 = percentile(m.firsts, 0.99)
 	}
+	most, total := 0, 0
 	for _, u := range upstreams {
+		most = max(most, u.engine.got)
+		total += u.engine.got
 		r.Fallen += u.engine.fallen
 		r.Lost += u.engine.lost
 		r.Swapped += u.engine.swapped
 		r.Excess += u.engine.excess
 	}
+	r.MaxLoad = float64(most*len(upstreams)) / float64(max(1, total))
 	seconds := r.cfg.Duration.Seconds()
 	r.Goodput = r.good / seconds
 	r.ShareBytes = float64(r.bytes) / seconds / float64(r.cfg.Entries*r.cfg.Upstreams)
--- a/lab/virtual/run.go
+++ b/lab/virtual/run.go
@@ -61,6 +61,8 @@
 	NoShares bool
 	// Unsensed leaves out the step times that agents see themselves.
 	Unsensed bool
+	// MeasureFrom leaves out the first tokens before a time.
+	MeasureFrom time.Duration
 	// Silence is how long nothing happens before the run's first request.
 	Silence time.Duration
 	// Events happen to the run's engines at their times.
@@ -105,7 +107,7 @@
 		Warmup:    warmup.Config{Min: 1, Max: 16, HealthyStep: 27 * time.Millisecond, GrowEvery: 200 * time.Millisecond},
 		Limits:    selection.Limits{MaxAge: maxReportAge, LinePerOrganisation: 2},
 		Line:      64,
-		Scheduler: scheduler.Config{MaxWaiting: 256, AvoidAfterFailure: 250 * time.Millisecond, Horizon: 150 * time.Millisecond},
+		Scheduler: scheduler.Config{MaxWaiting: 256, AvoidAfterFailure: 250 * time.Millisecond, Horizon: 80 * time.Millisecond},
 	}
 }
 
--- a/lab/virtual/shares_test.go
+++ b/lab/virtual/shares_test.go
@@ -8,7 +8,7 @@
 // TestSharesAcrossEntries saturates the fleet from all organisations, each with
 // most of its traffic at another entry.
 func TestSharesAcrossEntries(t *testing.T) {
-	for seed := uint64(1); seed <= 5; seed++ {
+	for seed := uint64(1); seed <= 8; seed++ {
 		cfg := SharesConfig(seed)
 		r := Run(cfg)
 		long, who10 := r.ShareError(10*time.Second, 10*time.Second)
--- a/pkg/filter/queue/queue.go
+++ b/pkg/filter/queue/queue.go
@@ -27,6 +27,7 @@
 		Priority:     r.Organisation.Priority,
 		Cost:         r.Cost,
 		Deadline:     r.Deadline,
+		Prefix:       r.Prefix,
 	})
 }
 
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -13,6 +13,7 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -54,6 +55,8 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	// Messages is only used to tell prompts with the same beginning.
+	Messages json.RawMessage `json:"messages"`
 }
 
 // chat resolves a chat completion.
@@ -74,6 +77,7 @@
 		return problem.New(problem.ReasonBadRequest, errBody)
 	}
 	r.Cost = chatCost(&body, len(r.Body))
+	r.Prefix = selection.PrefixOf(body.Messages)
 	r.Streamed = body.Stream
 	r.Body = streamed
 	r.Idempotent = true
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -74,11 +74,16 @@
 	choice   choice
 }
 
+// prefixSlack is how far above the mean load an upstream with a cached prefix may
+// be, as a fraction of its limit.
+const prefixSlack = 0.25
+
 // New returns a fleet view. Run must be called for it to see upstreams.
 func New(cfg Config, list *hosts.Client, agents *peer.AgentClient) *Fleet {
-	policy := &selection.TwoChoices{
+	policy := &selection.PrefixNear{
 		Limits: selection.Limits{MaxAge: cfg.MaxReportAge, LinePerOrganisation: cfg.LinePerOrganisation},
 		Rand:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+		Slack:  prefixSlack,
 	}
 	return &Fleet{
 		cfg:       cfg,
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -46,6 +46,8 @@
 	Deadline time.Time
 	// Cost is the expected cost in tokens.
 	Cost float64
+	// Prefix is the hash of the prompt's leading blocks, 0 when it has none.
+	Prefix uint64
 	// Spent is the real cost in tokens, counted while the answer is relayed.
 	Spent float64
 	// Reply takes the answer.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -52,7 +52,7 @@
 	MaxWaiting          int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
 	MaxWaitingTotal     int           `long:"max-waiting-total" env:"ACACIAGLADE_MAX_WAITING_TOTAL" default:"16384" description:"Requests that may wait for one service at this entry; beyond it each organisation may have one."`
 	LinePerOrganisation int           `long:"line-per-organisation" env:"ACACIAGLADE_LINE_PER_ORGANISATION" default:"2" description:"Requests of one organisation that this entry may have waiting beside one busy upstream."`
-	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"150ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
+	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"80ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
 	CeilingBurst        time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
 	Silence             time.Duration `long:"silence" env:"ACACIAGLADE_SILENCE" default:"2s" description:"Time after which a silent answer stream is given up and resumed on a new connection."`
 	AskTimeout          time.Duration `long:"ask-timeout" env:"ACACIAGLADE_ASK_TIMEOUT" default:"1s" description:"Longest wait when an agent is asked for the state of a request."`
