--- a/lab/virtual/shares_test.go
+++ b/lab/virtual/shares_test.go
@@ -22,3 +22,13 @@
 		}
 	}
 }
+
+// TestSharesNeedTheExchange shows that the bound catches entries that don't know
+// of each other's work.
+func TestSharesNeedTheExchange(t *testing.T) {
+	cfg := SharesConfig(1)
+	cfg.NoShares = true
+	if e, who := Run(cfg).ShareError(10*time.Second, 10*time.Second); e <= 0.05 {
+		t.Errorf("without the exchange %s differs by only %.1f%%; the test proves nothing", who, 100*e)
+	}
+}
