Choose ports that no outgoing connection takes

Ports were chosen from those of outgoing connections, and free only until the process listened. Ruled out: a second try, as a restarted process needs its old port back. Change: ports of processes are between 10,000 and 32,000, below the range of outgoing connections (32,768 to 60,999).

--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -250,13 +251,24 @@
 	return p, nil
 }
 
+// Ports of processes are below those of outgoing connections, so that no
+// connection takes the port of a process that has still to listen, or restarts.
+const (
+	firstPort = 10_000
+	portCount = 22_000
+	portTries = 100
+)
+
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
+	var err error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, errors.WithStack(l.Close())
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.Wrap(err, "no free port")
 }
 
 // setHosts tells the host lists where everything is, and writes the first
