Charge prompts to their organisations

Cause: the correction at the end of a request took the whole expected cost back and charged only the tokens of the answer, so prompts were free, and an organisation with long prompts got more than its share.

Ruled out: counting prompts in the accounts' "got" figure, which is said to be tokens of answers.

Change: requests carry the prompt's part of the cost; entries and agents charge it once the answer has begun. An attempt without an answer stays free.

The virtual runs charged prompts already and are unchanged.

--- a/pkg/agent/shares.go
+++ b/pkg/agent/shares.go
@@ -13,10 +13,13 @@
 	return a.gate.Answer(q, time.Now())
 }
 
-// account counts the real cost of an attempt to its organisation: one token for
-// each part of the answer.
+// account counts the real cost of an attempt to its organisation: the prompt, and
+// one token for each part of the answer. An attempt without an answer is free.
 func (a *Agent) account(req *api.AttemptRequest, r *run) {
 	cost := float64(r.parts())
+	if cost > 0 {
+		cost += req.PromptCost
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.Settle(req, cost, time.Now())
--- a/pkg/api/attempt.go
+++ b/pkg/api/attempt.go
@@ -24,6 +24,8 @@
 	Entry string `json:"entry,omitempty"`
 	// Cost is the expected cost in tokens.
 	Cost float64 `json:"cost,omitempty"`
+	// PromptCost is the part of Cost that the prompt takes.
+	PromptCost float64 `json:"prompt_cost,omitempty"`
 	// Virtual is the organisation's virtual time when the attempt was sent.
 	Virtual float64 `json:"virtual,omitempty"`
 	// Service is the name of the service that is called.
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -78,7 +78,7 @@
 		state:   retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline},
 	}
 	defer func() {
-		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Spent-r.Cost)
+		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Served()-r.Cost)
 	}()
 	for {
 		upstream, err := j.acquire(ctx)
@@ -193,6 +193,7 @@
 		Weight:            r.Organisation.Weight,
 		Entry:             u.Entry,
 		Cost:              r.Cost,
+		PromptCost:        r.PromptCost,
 		Virtual:           u.Virtual,
 		Service:           r.Service.Name,
 		Model:             r.Service.Kind == table.KindModel,
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -76,7 +76,8 @@
 	if err != nil {
 		return problem.New(problem.ReasonBadRequest, errBody)
 	}
-	r.Cost = chatCost(&body, len(r.Body))
+	r.PromptCost = float64(len(r.Body) / bytesPerToken)
+	r.Cost = r.PromptCost + answerCost(&body)
 	r.Prefix = selection.PrefixOf(body.Messages)
 	r.Streamed = body.Stream
 	r.Body = streamed
@@ -84,12 +85,13 @@
 	return nil
 }
 
-func chatCost(body *chatBody, size int) float64 {
+// answerCost returns the longest answer in tokens.
+func answerCost(body *chatBody) float64 {
 	tokens := body.MaxTokens
 	if tokens == 0 {
 		tokens = defaultMaxTokens
 	}
-	return float64(size/bytesPerToken + tokens)
+	return float64(tokens)
 }
 
 // engineBody returns the body for the engine. The fields that were read are set
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -46,6 +46,8 @@
 	Deadline time.Time
 	// Cost is the expected cost in tokens.
 	Cost float64
+	// PromptCost is the part of Cost that the prompt takes.
+	PromptCost float64
 	// Prefix is the hash of the prompt's leading blocks, 0 when it has none.
 	Prefix uint64
 	// Spent is the real cost in tokens, counted while the answer is relayed.
@@ -65,6 +67,15 @@
 	r.Decisions.Add(decisionlog.Decision{RequestID: r.ID, At: time.Now(), What: what, Why: why, Upstream: upstream})
 }
 
+// Served returns the cost of what the upstream did for the request: nothing
+// before the answer has begun, then its prompt and the tokens so far.
+func (r *Request) Served() float64 {
+	if r.Spent == 0 {
+		return 0
+	}
+	return r.PromptCost + r.Spent
+}
+
 // Reply takes the parts of an answer in order.
 type Reply interface {
 	// Head takes the status and media type of the answer. Until the first part
