--- a/pkg/ceiling/parts.go
+++ b/pkg/ceiling/parts.go
@@ -62,6 +62,14 @@
 	return h.Spend(cost, p.burst, now)
 }
 
+// Part returns an organisation's part in tokens a second, or 0 when it has none.
+func (p *Parts) Part(organisation string, now time.Time) float64 {
+	if h, ok := p.holders[organisation]; ok {
+		return h.Part(now)
+	}
+	return 0
+}
+
 // Questions returns what to ask each home now, and forgets unused parts.
 func (p *Parts) Questions(entries []string, now time.Time) map[string]*Question {
 	questions := make(map[string]*Question)
--- a/pkg/entry/ceilings.go
+++ b/pkg/entry/ceilings.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// ask asks every home once. A home that doesn't answer leaves the parts to lapse.
+// ask asks every home once and waits for the answers. A home that doesn't answer leaves the parts to lapse.
 func (c *ceilings) ask(ctx context.Context) {
 	addresses := c.entries()
 	names := make([]string, 0, len(addresses))
@@ -80,12 +80,14 @@
 	c.mu.Lock()
 	questions := c.parts.Questions(names, time.Now())
 	c.mu.Unlock()
+	var asked sync.WaitGroup
+	defer asked.Wait()
 	for home, q := range questions {
 		if home == c.name {
 			c.take(c.answer(q))
 			continue
 		}
-		go c.askHome(ctx, addresses[home], q)
+		asked.Go(func() { c.askHome(ctx, addresses[home], q) })
 	}
 }
 
