Let first marks settle before an agent admits work

Cause: an agent that restarted in a failure domain that is out could get its first marks from an entry that is cut off and has an older table, and take that entry's work until the next report of another entry. Ruled out: keeping marks on the host (hosts keep nothing), and asking every entry at start (agents know no entries). Measured: TestGateWaitsForTheMarksOfOtherEntries passes and failed before.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -29,9 +29,11 @@
 	Started time.Time
 	// ClockError is the largest difference between two hosts' clocks.
 	ClockError time.Duration
-	// RequireMarks makes the gate admit nothing before it has marks, so that an
-	// agent that restarts in a failure domain that is out takes no work there.
-	RequireMarks bool
+	// MarksSettle is how long after its first marks the gate begins to admit
+	// work. An agent that restarts in a failure domain that is out thus hears
+	// of it from the other entries, when the first marks come from an entry that
+	// is cut off. 0 admits work without marks.
+	MarksSettle time.Duration
 	// Line is how many admitted attempts may wait for room.
 	Line int
 	// Reserved is how much of the limit only priority work may use.
@@ -42,14 +44,18 @@
 
 // Gate is the admission state of one upstream.
 type Gate struct {
-	cfg      Config
-	clock    steadyClock
-	ledger   *ledger.Ledger
-	limiter  *warmup.Limiter
-	shares   *shares.Counter
-	line     line
-	virtual  float64
-	marks    marks.Set
+	cfg     Config
+	clock   steadyClock
+	ledger  *ledger.Ledger
+	limiter *warmup.Limiter
+	shares  *shares.Counter
+	line    line
+	virtual float64
+	marks   marks.Set
+	// marksAt is when the gate first had marks, and settled is set once they
+	// are old enough.
+	marksAt  time.Time
+	settled  bool
 	running  int
 	leaving  bool
 	ready    bool
@@ -161,7 +167,7 @@
 		return problem.ReasonFailureDomainOut, true
 	case g.marks.UpstreamOut(g.cfg.Upstream):
 		return problem.ReasonUpstreamOut, true
-	case !g.ready, g.cfg.RequireMarks && g.marks.Held().Version == 0:
+	case !g.ready, g.cfg.MarksSettle > 0 && !g.settled:
 		return problem.ReasonNotReady, true
 	default:
 		return "", false
@@ -222,6 +228,7 @@
 // Observe takes a sample of the upstream.
 func (g *Gate) Observe(s warmup.Sample, skew float64, now time.Time) {
 	g.ready = true
+	g.settle(now)
 	g.step = s.Step
 	g.skew = skew
 	// Reserved room can't be filled by other work, so it counts as used.
@@ -229,6 +236,17 @@
 	g.limiter.Observe(s, now)
 }
 
+// settle opens the gate once its first marks are old enough.
+func (g *Gate) settle(now time.Time) {
+	if g.marks.Held().Version == 0 {
+		return
+	}
+	if g.marksAt.IsZero() {
+		g.marksAt = now
+	}
+	g.settled = now.Sub(g.marksAt) >= g.cfg.MarksSettle
+}
+
 // Unreachable records that the upstream doesn't answer.
 func (g *Gate) Unreachable() { g.ready = false }
 
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -57,6 +57,9 @@
 	Warmup warmup.Config
 }
 
+// marksSettle is two reports of every entry in the default settings.
+const marksSettle = 500 * time.Millisecond
+
 // Agent serves the attempts of entries.
 type Agent struct {
 	cfg         Config
@@ -92,7 +95,7 @@
 			Incarnation:   incarnation,
 			Started:       time.Now(),
 			ClockError:    cfg.ClockError,
-			RequireMarks:  true,
+			MarksSettle:   marksSettle,
 			Line:          cfg.Line,
 			Reserved:      cfg.Reserved,
 			Warmup:        cfg.Warmup,
--- a/pkg/operator/page/page.js
+++ b/pkg/operator/page/page.js
@@ -131,7 +131,7 @@
 }
 
 // showConflict marks the cells that differ from the newer table, and shows its
-// values beside them. Saving again then replaces the newer table.
+// values below them.
 async function showConflict(problem) {
   const mine = readTable();
   const newer = (await call("GET", "/table")).body;
