--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -18,6 +18,7 @@
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
 	"github.com/acaciaglade/acaciaglade/lab/slope"
+	"github.com/acaciaglade/acaciaglade/lab/virtual"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
 )
 
@@ -52,6 +53,20 @@
 	return c.serve(s.Register)
 }
 
+type rankCommand struct {
+	listenFlag
+	engine.RankCommand
+}
+
+// Execute implements flags.Commander.
+func (c *rankCommand) Execute([]string) error {
+	register, err := c.Start()
+	if err != nil {
+		return err
+	}
+	return c.serve(register)
+}
+
 type ordersCommand struct {
 	listenFlag
 	Delay time.Duration `long:"delay" default:"20ms" description:"Time of one confirmation."`
@@ -87,10 +102,12 @@
 		data              any
 	}{
 		{"engine", "Run a stand-in of a model engine", &engineCommand{}},
+		{"rank", "Run a stand-in of one rank of a group", &rankCommand{}},
 		{"orders", "Run a stand-in of an order-handling service", &ordersCommand{}},
 		{"objects", "Run a stand-in of the platform's object API", &objectsCommand{}},
 		{"hosts", "Run a stand-in of the platform's host list", &hostsCommand{}},
 		{"maps", "Measure policies of expert maps in virtual time", &maps.Command{}},
+		{"virtual", "Run the decisions in virtual time", &virtual.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
 		{"slope", "Measure how use grows with one size", &slope.Command{}},
--- a/lab/virtual/result.go
+++ b/lab/virtual/result.go
@@ -24,12 +24,21 @@
 	Fallen  int `json:"fallen"`
 	Lost    int `json:"lost"`
 	Swapped int `json:"swapped"`
+	// Excess counts requests that cold engines got beyond what they bear.
+	Excess int `json:"excess"`
 	// Goodput is the tokens a second of answers that ended in time.
 	Goodput float64 `json:"goodput_tokens_per_second"`
 	// ShareBytes is the bytes of attained service an entry and an agent exchange
 	// in a second, in both directions.
 	ShareBytes float64 `json:"share_bytes_per_second_and_pair"`
 
+	// MaxLoad is how many times the mean number of requests the busiest upstream
+	// got.
+	MaxLoad float64 `json:"max_load"`
+	// Recovered is how long after the first event its upstream was warm again
+	// with at least half of its room.
+	Recovered time.Duration `json:"recovered_ns"`
+
 	start time.Time
 	cfg   Config
 	bytes int
@@ -42,6 +51,8 @@
 	Completed int `json:"completed"`
 	Late      int `json:"late"`
 	Refused   int `json:"refused"`
+	// Expired is how many of those were refused only after a wait.
+	Expired int `json:"expired"`
 	// Cached counts first tokens whose prefix was cached.
 	Cached int `json:"cached"`
 	// Tokens is the attained service.
@@ -73,6 +84,9 @@
 }
 
 func (r *Result) first(q *request, now time.Time) {
+	if now.Sub(r.start) < r.cfg.MeasureFrom {
+		return
+	}
 	m := r.of(q.organisation)
 	m.firsts = append(m.firsts, now.Sub(q.arrived))
 	if q.cached {
@@ -94,6 +108,9 @@
 func (r *Result) refuse(q *request, _ *problem.Problem, now time.Time) {
 	m := r.of(q.organisation)
 	m.Refused++
+	if now.After(q.arrived) {
+		m.Expired++
+	}
 	m.RefusedAfter = max(m.RefusedAfter, now.Sub(q.arrived))
 }
 
@@ -113,11 +130,16 @@
 		m.FirstToken50 = percentile(m.firsts, 0.50)
 		m.FirstToken99 = percentile(m.firsts, 0.99)
 	}
+	most, total := 0, 0
 	for _, u := range upstreams {
+		most = max(most, u.engine.got)
+		total += u.engine.got
 		r.Fallen += u.engine.fallen
 		r.Lost += u.engine.lost
 		r.Swapped += u.engine.swapped
+		r.Excess += u.engine.excess
 	}
+	r.MaxLoad = float64(most*len(upstreams)) / float64(max(1, total))
 	seconds := r.cfg.Duration.Seconds()
 	r.Goodput = r.good / seconds
 	r.ShareBytes = float64(r.bytes) / seconds / float64(r.cfg.Entries*r.cfg.Upstreams)
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/claim"
 	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
+	"github.com/acaciaglade/acaciaglade/pkg/group"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -55,6 +56,8 @@
 	Reserved int
 	// Warmup is the settings of the admission limit.
 	Warmup warmup.Config
+	// Group is the settings of the upstream's group of ranks, nil when it is none.
+	Group *group.Config
 }
 
 // marksSettle is two reports of every entry in the default settings.
@@ -74,13 +77,14 @@
 	gate *admission.Gate
 	runs map[string]*run
 
-	work sync.WaitGroup
+	work  sync.WaitGroup
+	group *group.Group
 }
 
 // New returns an agent. Run must be called for it to admit work.
 func New(cfg Config, store objects.Store, reg prometheus.Registerer) *Agent {
 	incarnation := uuid.NewString()
-	return &Agent{
+	a := &Agent{
 		cfg:         cfg,
 		incarnation: incarnation,
 		upstream:    newUpstreamClient(cfg.UpstreamURL, cfg.Model),
@@ -102,10 +106,15 @@
 		}),
 		runs: make(map[string]*run),
 	}
+	a.group = a.newGroup(cfg.Group)
+	return a
 }
 
 // Run samples the upstream and cleans up until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
+	if a.group != nil {
+		go a.group.Run(ctx)
+	}
 	ticker := time.NewTicker(a.cfg.SampleInterval)
 	defer ticker.Stop()
 	for {
@@ -137,7 +146,7 @@
 	}()
 	select {
 	case <-done:
-		return nil
+		return a.leaveGroup(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -148,9 +157,10 @@
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.SampleInterval)
 	defer cancel()
 	load, err := a.upstream.load(ctx)
+	closed := a.groupClosed()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err != nil {
+	if err != nil || closed {
 		a.gate.Unreachable()
 		a.turns()
 		return
--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -62,6 +62,7 @@
 		Heartbeat:      s.Heartbeat,
 		Orphan:         s.Orphan,
 		SampleInterval: s.SampleInterval,
+		Group:          groupConfig(s),
 		Line:           s.Line,
 		Reserved:       s.Reserved,
 		Warmup: warmup.Config{
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -12,6 +13,7 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -53,6 +55,8 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
+	// Messages is only used to tell prompts with the same beginning.
+	Messages json.RawMessage `json:"messages"`
 }
 
 // chat resolves a chat completion.
@@ -68,11 +72,12 @@
 	if body.MaxTokens < 0 {
 		return problem.New(problem.ReasonBadRequest, "max_tokens is negative")
 	}
-	streamed, err := withStream(r.Body)
+	streamed, err := engineBody(r.Body, &body)
 	if err != nil {
 		return problem.New(problem.ReasonBadRequest, errBody)
 	}
 	r.Cost = chatCost(&body, len(r.Body))
+	r.Prefix = selection.PrefixOf(body.Messages)
 	r.Streamed = body.Stream
 	r.Body = streamed
 	r.Idempotent = true
@@ -87,18 +92,38 @@
 	return float64(size/bytesPerToken + tokens)
 }
 
-// withStream returns the body with streaming asked for, as the engine's answers
-// are always read as a stream.
-func withStream(body []byte) ([]byte, error) {
+// engineBody returns the body for the engine. The fields that were read are set
+// to what was read, under their exact names alone, so that the engine can't read
+// another model or limit. Streaming is asked for, as the engine's answers are
+// always read as a stream.
+func engineBody(raw []byte, read *chatBody) ([]byte, error) {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
+	if err := json.Unmarshal(raw, &fields); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	fields["stream"] = json.RawMessage("true")
-	raw, err := json.Marshal(fields)
-	return raw, errors.WithStack(err)
+	for name := range fields {
+		if slices.ContainsFunc(chatFields, func(field string) bool { return strings.EqualFold(name, field) }) {
+			delete(fields, name)
+		}
+	}
+	fields[fieldModel] = json.RawMessage(strconv.Quote(read.Model))
+	fields[fieldStream] = json.RawMessage("true")
+	if read.MaxTokens > 0 {
+		fields[fieldMaxTokens] = json.RawMessage(strconv.Itoa(read.MaxTokens))
+	}
+	body, err := json.Marshal(fields)
+	return body, errors.WithStack(err)
 }
 
+// Names of the fields that are read of a chat completion.
+const (
+	fieldModel     = "model"
+	fieldStream    = "stream"
+	fieldMaxTokens = "max_tokens"
+)
+
+var chatFields = []string{fieldModel, fieldStream, fieldMaxTokens}
+
 // plain resolves a call of a plain service: the first segment of the path names
 // the service, the rest is the path at the upstream.
 func plain(r *pipe.Request) *problem.Problem {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -50,8 +50,9 @@
 	DefaultDeadline     time.Duration `long:"default-deadline" env:"ACACIAGLADE_DEFAULT_DEADLINE" default:"60s" description:"Time limit of a request that names none."`
 	MaxDeadline         time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
 	MaxWaiting          int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
+	MaxWaitingTotal     int           `long:"max-waiting-total" env:"ACACIAGLADE_MAX_WAITING_TOTAL" default:"16384" description:"Requests that may wait for one service at this entry; beyond it each organisation may have one."`
 	LinePerOrganisation int           `long:"line-per-organisation" env:"ACACIAGLADE_LINE_PER_ORGANISATION" default:"2" description:"Requests of one organisation that this entry may have waiting beside one busy upstream."`
-	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"150ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
+	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"80ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
 	CeilingBurst        time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
 	Silence             time.Duration `long:"silence" env:"ACACIAGLADE_SILENCE" default:"2s" description:"Time after which a silent answer stream is given up and resumed on a new connection."`
 	AskTimeout          time.Duration `long:"ask-timeout" env:"ACACIAGLADE_ASK_TIMEOUT" default:"1s" description:"Longest wait when an agent is asked for the state of a request."`
@@ -75,6 +76,7 @@
 	Reserved       int           `long:"reserved" env:"ACACIAGLADE_RESERVED" default:"0" description:"Part of the room that only priority organisations may use, in requests."`
 	HealthyStep    time.Duration `long:"healthy-step" env:"ACACIAGLADE_HEALTHY_STEP" default:"27ms" description:"Longest step time of a healthy upstream."`
 	GrowEvery      time.Duration `long:"grow-every" env:"ACACIAGLADE_GROW_EVERY" default:"200ms" description:"Shortest time between two increases of the room."`
+	Group          Group         `group:"Rank group"`
 }
 
 // Fault is one bad setting.
@@ -163,6 +165,7 @@
 	c.require(s.MaxWaiting > 0, "max-waiting", "give a number above 0")
 	c.require(s.LinePerOrganisation >= 0, "line-per-organisation", "give a number of at least 0")
 	c.require(s.LineHorizon >= 0, "line-horizon", "give a time of at least 0")
+	c.require(s.MaxWaitingTotal > 0, "max-waiting-total", "give a number above 0")
 	c.positive(s.CeilingBurst, "ceiling-burst")
 	c.positive(s.Silence, "silence")
 	c.positive(s.AskTimeout, "ask-timeout")
@@ -187,6 +190,7 @@
 	c.require(s.MaxRoom >= s.MinRoom, "max-room", "give at least --min-room")
 	c.positive(s.HealthyStep, "healthy-step")
 	c.positive(s.GrowEvery, "grow-every")
+	c.group(&s.Group)
 	return c.err()
 }
 
