Measure how long steps stop when a coordinator dies

Cause: the bound stood in the design only. Change: the stand-in tells its longest time without a step, the session checks it against 5 s, and the defaults are now 0.5 s between pings and 2 s of patience.

--- a/lab/engine/lockstep.go
+++ b/lab/engine/lockstep.go
@@ -16,8 +16,13 @@
 	"github.com/acaciaglade/acaciaglade/pkg/group"
 )
 
-// PathShift gives every expert of the group a new popularity.
-const PathShift = "/lab/popularity/shift"
+// Paths of a group that tests call.
+const (
+	// PathShift gives every expert of the group a new popularity.
+	PathShift = "/lab/popularity/shift"
+	// PathStop tells the longest time without a step, and forgets it.
+	PathStop = "/lab/lockstep/stop"
+)
 
 // LockstepConfig is the settings of a group of ranks.
 type LockstepConfig struct {
@@ -50,6 +55,8 @@
 	skew         float64
 	broken       bool
 	lastDrift    time.Time
+	lastRan      time.Time
+	longestStop  time.Duration
 }
 
 // NewLockstep returns a group whose ranks are not asked for anything yet.
@@ -76,6 +83,13 @@
 		l.workload.Shift()
 		return c.NoContent(http.StatusOK)
 	})
+	e.GET(PathStop, func(c echo.Context) error {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		stop := l.longestStop
+		l.longestStop = 0
+		return c.JSON(http.StatusOK, stop.Milliseconds())
+	})
 }
 
 // outcome is what became of an attempt to run a step.
@@ -180,6 +194,11 @@
 	}
 	l.report.ExpertMillis = work * l.cfg.PickTime.Seconds() * 1000 / ranks
 	l.report.StepMillis = worst
+	now := time.Now()
+	if !l.lastRan.IsZero() {
+		l.longestStop = max(l.longestStop, now.Sub(l.lastRan))
+	}
+	l.lastRan = now
 	l.picks = nil
 	l.step++
 	l.broken = false
--- a/lab/sessions/group_test.go
+++ b/lab/sessions/group_test.go
@@ -29,7 +29,7 @@
 		RankArgs: append([]string{"--layers", "2", "--experts", "8", "--expert-slots", "4"}, rankArgs...),
 		MemberArgs: []string{
 			"--group-layers", "2", "--group-experts", "8", "--group-expert-slots", "4", "--plan-interval", "500ms", "--plan-rest", "500ms",
-			"--group-patience", "500ms", "--rank-order-timeout", "500ms", "--expert-bytes", "1e6", "--healthy-step", "10s",
+			"--group-interval", "100ms", "--group-patience", "500ms", "--rank-order-timeout", "500ms", "--expert-bytes", "1e6", "--healthy-step", "10s",
 		},
 	}
 }
@@ -137,6 +137,19 @@
 	}
 }
 
+// stopBound is how long steps may stop when the coordinator dies: a few seconds.
+const stopBound = 5 * time.Second
+
+// longestStop returns the longest time without a step since the last call.
+func longestStop(t *testing.T, d *deploy.Deployment) time.Duration {
+	t.Helper()
+	var millis int64
+	if err := fetch(t, d.Ranks[0].URL()+engine.PathStop, &millis); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // preparedOn waits until a rank holds a map without the decision, and returns its
 // version.
 func preparedOn(t *testing.T, d *deploy.Deployment, rank int) expertmap.Version {
@@ -211,6 +224,7 @@
 	r.Line("a new map is in force on all ranks")
 
 	r.Note("the popularity shifts, and the coordinator is killed between prepare and commit")
+	longestStop(t, d)
 	put(t, d.Ranks[1].URL()+engine.PathStall, mapswitch.OrderPrepare)
 	shift(t, d)
 	aborted := preparedOn(t, d, 2)
@@ -222,6 +236,9 @@
 		t.Fatal(err)
 	}
 	third := newVersion(t, d, max(second, aborted))
+	stopped := longestStop(t, d)
+	t.Logf("steps stopped for %s", stopped)
+	r.Line("steps stopped for at most %s: %t", stopBound, stopped <= stopBound)
 	r.Line("the prepared map was aborted, and another one is in force on all ranks")
 
 	r.Note("a rank is frozen for a second while the popularity shifts")
--- a/pkg/settings/group.go
+++ b/pkg/settings/group.go
@@ -15,8 +15,8 @@
 	Layers        int           `long:"group-layers" env:"ACACIAGLADE_GROUP_LAYERS" default:"1" description:"Layers with experts."`
 	Experts       int           `long:"group-experts" env:"ACACIAGLADE_GROUP_EXPERTS" default:"64" description:"Experts in each layer."`
 	ExpertSlots   int           `long:"group-expert-slots" env:"ACACIAGLADE_GROUP_EXPERT_SLOTS" default:"3" description:"Experts of a layer that one rank can hold."`
-	Interval      time.Duration `long:"group-interval" env:"ACACIAGLADE_GROUP_INTERVAL" default:"100ms" description:"Time between two messages to each member, and between two reads of the rank."`
-	Patience      time.Duration `long:"group-patience" env:"ACACIAGLADE_GROUP_PATIENCE" default:"1s" description:"Silence of the higher ranks after which this agent coordinates."`
+	Interval      time.Duration `long:"group-interval" env:"ACACIAGLADE_GROUP_INTERVAL" default:"500ms" description:"Time between two messages to each member, and between two reads of the rank."`
+	Patience      time.Duration `long:"group-patience" env:"ACACIAGLADE_GROUP_PATIENCE" default:"2s" description:"Silence of the higher ranks after which this agent coordinates."`
 	OrderTimeout  time.Duration `long:"rank-order-timeout" env:"ACACIAGLADE_RANK_ORDER_TIMEOUT" default:"2s" description:"Longest time after which an order without an answer can still take effect on the rank."`
 	LoadTimeout   time.Duration `long:"rank-load-timeout" env:"ACACIAGLADE_RANK_LOAD_TIMEOUT" default:"5m" description:"Longest time in which the ranks load the experts of a map."`
 	HoldMargin    uint64        `long:"group-hold-margin" env:"ACACIAGLADE_GROUP_HOLD_MARGIN" default:"4" description:"Steps between the choice of a switch and the switch. It grows while ranks find it too near."`
