--- a/pkg/entry/accounts.go
+++ b/pkg/entry/accounts.go
@@ -42,6 +42,8 @@
 	requests  *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	tokens    *prometheus.CounterVec
+	first     *prometheus.HistogramVec
+	whole     *prometheus.HistogramVec
 	decisions *decisionlog.Log
 	peers     *peer.AgentClient
 	hosts     func() []hosts.Host
@@ -72,10 +74,30 @@
 			Help: "Tokens asked for and got, by organisation. Beyond a number of organisations they are counted as (other).",
 		}, []string{"organisation", "kind"}),
 	}
-	reg.MustRegister(a.requests, a.refusals, a.tokens)
+	a.first = newLatency("acaciaglade_first_part_seconds", "Time from a request to the first part of its answer, of complete answers, by service.")
+	a.whole = newLatency("acaciaglade_answer_seconds", "Time from a request to the end of its answer, of complete answers, by service.")
+	reg.MustRegister(a.requests, a.refusals, a.tokens, a.first, a.whole)
 	return a
 }
 
+// latencyBuckets are in seconds. 0.4 s is the goal for first tokens.
+var latencyBuckets = []float64{0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3, 6, 12, 30, 60, 120}
+
+func newLatency(name, help string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: latencyBuckets}, []string{"service"})
+}
+
+// observe records how long a complete answer took.
+func (a *accounts) observe(r *pipe.Request, now time.Time) {
+	if r.Service == nil {
+		return
+	}
+	a.whole.WithLabelValues(r.Service.Name).Observe(now.Sub(r.Received).Seconds())
+	if !r.FirstPart.IsZero() {
+		a.first.WithLabelValues(r.Service.Name).Observe(r.FirstPart.Sub(r.Received).Seconds())
+	}
+}
+
 // Results of requests, as labels of metrics.
 const (
 	resultComplete = "complete"
@@ -97,6 +119,7 @@
 	a.tokens.WithLabelValues(label, "got").Add(r.Spent)
 	if refusal == nil {
 		a.requests.WithLabelValues(label, resultComplete).Inc()
+		a.observe(r, time.Now())
 		r.Decide(resultComplete, "", "")
 		return
 	}
--- a/pkg/entry/accounts_test.go
+++ b/pkg/entry/accounts_test.go
@@ -4,6 +4,7 @@
 	"net/http/httptest"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,8 +23,9 @@
 func TestAccountsOverTheFleet(t *testing.T) {
 	var list []hosts.Host
 	known := func() []hosts.Host { return list }
+	registry := prometheus.NewRegistry()
 	newOne := func(name string) *accounts {
-		a := newAccounts(name, peer.NewAgentClient(testPeerToken), known, prometheus.NewRegistry())
+		a := newAccounts(name, peer.NewAgentClient(testPeerToken), known, prometheus.WrapRegistererWith(prometheus.Labels{"entry": name}, registry))
 		e := echo.New()
 		a.registerPeer(e.Group("", peer.RequireToken(testPeerToken)))
 		s := httptest.NewServer(e)
@@ -36,11 +38,25 @@
 	gone.Close()
 	list = append(list, hosts.Host{Name: "gone", Role: hosts.RoleEntry, Address: gone.URL})
 	request := func(a *accounts) *pipe.Request {
-		return &pipe.Request{ID: "id", Organisation: &table.Organisation{Name: "o"}, Cost: 10, Spent: 4, Decisions: a.decisions}
+		return &pipe.Request{ID: "id", Organisation: &table.Organisation{Name: "o"}, Service: &table.Service{Name: "m"}, FirstPart: time.Now(), Cost: 10, Spent: 4, Decisions: a.decisions}
 	}
 	one.ended(request(one), nil)
 	two.ended(request(two), problem.New(problem.ReasonCeiling, ""))
 
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	observed := make(map[string]uint64)
+	for _, family := range families {
+		for _, m := range family.Metric {
+			observed[family.GetName()] += m.GetHistogram().GetSampleCount()
+		}
+	}
+	if observed["acaciaglade_answer_seconds"] != 1 || observed["acaciaglade_first_part_seconds"] != 1 {
+		t.Errorf("observed %v, want 1 answer and 1 first part", observed)
+	}
+
 	report := one.Accounts(t.Context(), accounting.Query{}, true)
 	if !slices.Equal(report.Entries, []string{"one", "two"}) || !slices.Equal(report.Unreachable, []string{"gone"}) {
 		t.Errorf("entries %v, unreachable %v", report.Entries, report.Unreachable)
--- a/pkg/filter/attempt/relay.go
+++ b/pkg/filter/attempt/relay.go
@@ -52,6 +52,9 @@
 		return r.Reply.Head(f.Status, f.ContentType)
 	case api.FrameData:
 		r.Spent++
+		if r.FirstPart.IsZero() {
+			r.FirstPart = time.Now()
+		}
 		err := r.Reply.Data(f.Data)
 		j.state.Progress(r.Reply.Relayed())
 		return err
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -48,6 +48,8 @@
 	Cost float64
 	// Spent is the real cost in tokens, counted while the answer is relayed.
 	Spent float64
+	// FirstPart is when the first part of an answer arrived, zero when none has.
+	FirstPart time.Time
 	// Reply takes the answer.
 	Reply Reply
 	// Decisions takes the decisions about the request. It may be nil.
