--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -43,6 +43,7 @@
 	must(parser.AddCommand("serve", "Serve callers and operators", "Runs the entry process until it is told to stop.", &serveCommand{}))
 	config := must(parser.AddCommand("config", "Work with settings", "Checks settings.", &struct{}{}))
 	must(config.AddCommand("reference", "Print the settings", "Prints the settings of both programs as a Markdown page.", &referenceCommand{}))
+	must(config.AddCommand("refusals", "Print the refusals", "Prints every reason of a refusal as a Markdown page.", &refusalsCommand{}))
 	must(config.AddCommand("check", "Check the settings of serve", "Reports every bad setting at once.", &checkCommand{}))
 	table := must(parser.AddCommand("table", "Read and replace the table", "Reads and replaces the table through any entry.", &struct{}{}))
 	must(table.AddCommand("show", "Show the table", "Prints the table, or its organisations as CSV.", &tableShowCommand{}))
--- a/pkg/cli/reference_test.go
+++ b/pkg/cli/reference_test.go
@@ -2,22 +2,31 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"testing"
 )
 
-// TestSettingsReferenceIsCurrent compares docs/SETTINGS.md with the flags. Write
-// the page anew with: go run ./cmd/acaciaglade config reference > docs/SETTINGS.md
-func TestSettingsReferenceIsCurrent(t *testing.T) {
-	want, err := os.ReadFile("../../docs/SETTINGS.md")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var got bytes.Buffer
-	if err := WriteReference(&got); err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Error("docs/SETTINGS.md is not current; run: go run ./cmd/acaciaglade config reference > docs/SETTINGS.md")
+// TestGeneratedPagesAreCurrent compares the generated pages with the flags and
+// reasons. Write a page anew with: go run ./cmd/acaciaglade config COMMAND > PAGE
+func TestGeneratedPagesAreCurrent(t *testing.T) {
+	for _, page := range []struct {
+		file, command string
+		write         func(io.Writer) error
+	}{
+		{"docs/SETTINGS.md", "reference", WriteReference},
+		{"docs/REFUSALS.md", "refusals", WriteRefusals},
+	} {
+		want, err := os.ReadFile("../../" + page.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got bytes.Buffer
+		if err := page.write(&got); err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(got.Bytes(), want) {
+			t.Errorf("%s is not current; run: go run ./cmd/acaciaglade config %s > %s", page.file, page.command, page.file)
+		}
 	}
 }
