Refuse requests of a service that has no upstream

Ruled out: a refusal at the first sight of none, since one replica that restarts or one lost report would refuse work that a second later runs. Change: after --no-upstream-after (2 s) without an upstream that takes work, waiting requests are refused as no_upstream, "not run", and new ones at once. Policies embed their limits, so that Open and Serving stand once.

--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -60,6 +60,7 @@
 		Scheduler: scheduler.Config{
 			MaxWaiting:        s.MaxWaiting,
 			AvoidAfterFailure: s.AvoidAfter,
+			NoUpstreamAfter:   s.NoUpstreamAfter,
 			Horizon:           s.LineHorizon,
 			MaxTotal:          s.MaxWaitingTotal,
 		},
--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -195,16 +195,25 @@
 
 // Expire removes and returns the requests whose deadline has passed.
 func (q *Queue) Expire(now time.Time) []*Item {
-	var expired []*Item
+	return q.removeIf(func(it *Item) bool { return !now.Before(it.Deadline) })
+}
+
+// RemoveAll removes and returns all requests.
+func (q *Queue) RemoveAll() []*Item {
+	return q.removeIf(func(*Item) bool { return true })
+}
+
+func (q *Queue) removeIf(goes func(it *Item) bool) []*Item {
+	var removed []*Item
 	for _, it := range q.items {
-		if !now.Before(it.Deadline) {
-			expired = append(expired, it)
+		if goes(it) {
+			removed = append(removed, it)
 		}
 	}
-	for _, it := range expired {
+	for _, it := range removed {
 		q.Remove(it.ID)
 	}
-	return expired
+	return removed
 }
 
 func without(items []*Item, it *Item) []*Item {
--- a/pkg/scheduler/overload.go
+++ b/pkg/scheduler/overload.go
@@ -24,6 +24,9 @@
 
 // refusal returns why a request must not wait, or nil.
 func (s *Scheduler) refusal(svc *service, r *Request, now time.Time) *problem.Problem {
+	if s.absent(svc, now) {
+		return problem.New(problem.ReasonNoUpstream, "")
+	}
 	waiting := svc.queue.Waiting(r.Organisation)
 	full := s.cfg.MaxTotal > 0 && svc.queue.Len() >= s.cfg.MaxTotal && waiting > 0
 	if full || waiting >= s.cfg.MaxWaiting {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -26,6 +26,10 @@
 	MaxTotal int
 	// AvoidAfterFailure is how long an upstream is passed over after a failure.
 	AvoidAfterFailure time.Duration
+	// NoUpstreamAfter is how long a service may have no upstream that takes work
+	// before its requests are refused. 0 means that they wait until their
+	// deadline.
+	NoUpstreamAfter time.Duration
 	// Horizon is how long before its turn a request may be sent to wait in an
 	// agent's line.
 	Horizon time.Duration
@@ -70,7 +74,9 @@
 	queue      *fairqueue.Queue
 	shares     *shares.View
 	candidates []selection.Candidate
-	runTime    runTime
+	// servingAt is when an upstream was last seen to take work.
+	servingAt time.Time
+	runTime   runTime
 }
 
 // New returns an empty scheduler.
@@ -155,9 +161,12 @@
 func (s *Scheduler) Tick(now time.Time) []Grant {
 	var grants []Grant
 	for _, svc := range s.services {
-		for _, it := range svc.queue.Expire(now.Add(svc.runTime.typical)) {
-			grants = append(grants, Grant{ID: it.ID, Refusal: problem.New(problem.ReasonDeadlineExceeded, "")})
+		if s.absent(svc, now) {
+			grants = append(grants, refuseAll(svc.queue.RemoveAll(), problem.ReasonNoUpstream)...)
+			continue
 		}
+		expired := svc.queue.Expire(now.Add(svc.runTime.typical))
+		grants = append(grants, refuseAll(expired, problem.ReasonDeadlineExceeded)...)
 		grants = append(grants, s.grants(svc, now)...)
 	}
 	return grants
--- a/pkg/selection/candidate.go
+++ b/pkg/selection/candidate.go
@@ -85,6 +85,16 @@
 	return false
 }
 
+// Serving reports whether any candidate takes work at all, be it full now.
+func (l Limits) Serving(candidates []Candidate, now time.Time) bool {
+	for i := range candidates {
+		if candidates[i].usable(now, l.MaxAge) {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the candidate takes any work.
 func (c *Candidate) usable(now time.Time, maxAge time.Duration) bool {
 	r := &c.Report
--- a/pkg/selection/prefix.go
+++ b/pkg/selection/prefix.go
@@ -34,7 +34,7 @@
 // the mean is taken. It needs no cache events and so none can mislead it.
 type PrefixNear struct {
 	// Limits bound the use of candidates.
-	Limits Limits
+	Limits
 	// Rand is the source of the choices for work without a prefix.
 	Rand *rand.Rand
 	// Slack is how far above the mean load a preferred upstream may be, as a
@@ -67,11 +67,6 @@
 	return leastLoaded(candidates, eligible, w, p.Rand)
 }
 
-// Open implements Policy.
-func (p *PrefixNear) Open(candidates []Candidate, now time.Time) bool {
-	return p.Limits.Open(candidates, now)
-}
-
 // preference is the rendezvous score of an upstream for a prefix.
 func preference(c *Candidate, prefix uint64) uint64 {
 	return xxhash.Sum64String(strconv.FormatUint(prefix, 16) + c.Report.Upstream)
@@ -80,7 +75,7 @@
 // LeastLoad is a Policy that takes the least loaded candidate.
 type LeastLoad struct {
 	// Limits bound the use of candidates.
-	Limits Limits
+	Limits
 	// Rand chooses among equals.
 	Rand *rand.Rand
 }
@@ -94,11 +89,6 @@
 	return leastLoaded(candidates, eligible, w, p.Rand)
 }
 
-// Open implements Policy.
-func (p *LeastLoad) Open(candidates []Candidate, now time.Time) bool {
-	return p.Limits.Open(candidates, now)
-}
-
 var (
 	_ Policy = (*PrefixNear)(nil)
 	_ Policy = (*LeastLoad)(nil)
--- a/pkg/selection/selection.go
+++ b/pkg/selection/selection.go
@@ -14,13 +14,15 @@
 	Choose(candidates []Candidate, w Work, now time.Time) int
 	// Open reports whether any candidate can take any work.
 	Open(candidates []Candidate, now time.Time) bool
+	// Serving reports whether any candidate takes work at all, be it full now.
+	Serving(candidates []Candidate, now time.Time) bool
 }
 
 // TwoChoices is a Policy that takes the less loaded of two random candidates.
 // Priority work takes the least loaded of all.
 type TwoChoices struct {
 	// Limits bound the use of candidates.
-	Limits Limits
+	Limits
 	// Rand is the source of the choices.
 	Rand *rand.Rand
 }
@@ -42,11 +44,6 @@
 	return a
 }
 
-// Open implements Policy.
-func (p *TwoChoices) Open(candidates []Candidate, now time.Time) bool {
-	return p.Limits.Open(candidates, now)
-}
-
 // leastLoaded returns the least loaded of the eligible candidates, a random one
 // of those that are equal.
 func leastLoaded(candidates []Candidate, eligible []int, w Work, r *rand.Rand) int {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -51,6 +51,7 @@
 	MaxDeadline         time.Duration `long:"max-deadline" env:"ACACIAGLADE_MAX_DEADLINE" default:"10m" description:"Longest time limit of a request."`
 	MaxWaiting          int           `long:"max-waiting" env:"ACACIAGLADE_MAX_WAITING" default:"256" description:"Most requests that one organisation may have waiting for one service at this entry."`
 	MaxWaitingTotal     int           `long:"max-waiting-total" env:"ACACIAGLADE_MAX_WAITING_TOTAL" default:"16384" description:"Requests that may wait for one service at this entry; beyond it each organisation may have one."`
+	NoUpstreamAfter     time.Duration `long:"no-upstream-after" env:"ACACIAGLADE_NO_UPSTREAM_AFTER" default:"2s" description:"Time for which a service may have no upstream that takes work before its requests are refused. 0 lets them wait until their deadline."`
 	LinePerOrganisation int           `long:"line-per-organisation" env:"ACACIAGLADE_LINE_PER_ORGANISATION" default:"2" description:"Requests of one organisation that this entry may have waiting beside one busy upstream."`
 	LineHorizon         time.Duration `long:"line-horizon" env:"ACACIAGLADE_LINE_HORIZON" default:"80ms" description:"Time before its turn at which a request may be sent to wait beside a busy upstream."`
 	CeilingBurst        time.Duration `long:"ceiling-burst" env:"ACACIAGLADE_CEILING_BURST" default:"1s" description:"Time for which an unused ceiling can be saved up."`
@@ -164,6 +165,7 @@
 	c.require(s.StopTimeout > s.MaxDeadline, "stop-timeout", "give a time above --max-deadline, so that a stop cuts off no request")
 	c.require(s.MaxWaiting > 0, "max-waiting", "give a number above 0")
 	c.require(s.LinePerOrganisation >= 0, "line-per-organisation", "give a number of at least 0")
+	c.require(s.NoUpstreamAfter >= 0, "no-upstream-after", "give a time of at least 0")
 	c.require(s.LineHorizon >= 0, "line-horizon", "give a time of at least 0")
 	c.require(s.MaxWaitingTotal > 0, "max-waiting-total", "give a number above 0")
 	c.positive(s.CeilingBurst, "ceiling-burst")
