Give started processes addresses that nobody else takes

The address found free for an entry had been taken by another process before the entry listened on it, since the system hands the same ports to every listener and outgoing connection. Ruled out: trying again on a failed start, which hides the wrong process that answers; passing listeners on, since processes take an address as a setting. Change: each deployment uses a loopback IP number of its own and ports below the system's own range, in turn; the recorder knows any loopback number.

--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -250,15 +249,6 @@
 	return p, nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // setHosts tells the host lists where everything is, and writes the first
 // table.
 func (d *Deployment) setHosts(ctx context.Context) error {
--- a/lab/session/session.go
+++ b/lab/session/session.go
@@ -82,7 +82,7 @@
 	with    string
 }{
 	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "<id>"},
-	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<address>"},
+	{regexp.MustCompile(`127(\.\d+){3}:\d+`), "<address>"},
 	{regexp.MustCompile(`"report_age_millis": \d+`), `"report_age_millis": <age>`},
 	{regexp.MustCompile(`"(answer_)?age_millis": \d+`), `"${1}age_millis": <age>`},
 	{regexp.MustCompile(`(?m) [0-9.]+m?s$`), ` <age>`},
