Let the engine's stand-in lag, honour priority and resume

Cause: the stand-in reported its load without a lag, treated priority work as all other, and could not continue an answer at an offset, which real engines do. Agents do not use the resume yet.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -40,6 +40,7 @@
 	Step           time.Duration `long:"step" default:"10ms" description:"Time of a step with an empty batch."`
 	StepPerRequest time.Duration `long:"step-per-request" default:"500us" description:"Time that each running request adds to a step."`
 	ColdSteps      int           `long:"cold-steps" default:"20" description:"Steps that a cold engine takes to warm up."`
+	LoadLag        time.Duration `long:"load-lag" default:"0s" description:"Age of the load that the engine reports."`
 	ColdFactor     float64       `long:"cold-factor" default:"4" description:"How much slower a cold engine is."`
 }
 
@@ -47,7 +48,7 @@
 func (c *engineCommand) Execute([]string) error {
 	s := engine.New(engine.Config{
 		Model: c.Model, Slots: c.Slots, Step: c.Step, StepPerRequest: c.StepPerRequest,
-		ColdSteps: c.ColdSteps, ColdFactor: c.ColdFactor,
+		ColdSteps: c.ColdSteps, ColdFactor: c.ColdFactor, LoadLag: c.LoadLag,
 	})
 	go s.Run()
 	return c.serve(s.Register)
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -111,6 +111,7 @@
 		Models:         c.Models,
 		Orders:         c.Orders,
 		HostListLag:    time.Second,
+		EngineArgs:     []string{"--load-lag", "200ms"},
 		Table:          Table(domains),
 	}
 }
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 	ColdSteps int
 	// ColdFactor is how much slower a cold engine is.
 	ColdFactor float64
+	// LoadLag is how old the load is that the engine reports.
+	LoadLag time.Duration
 	// Lockstep, if any, makes the ranks of a group enter each step. Its time is
 	// added to that of the step.
 	Lockstep *Lockstep
@@ -42,20 +45,25 @@
 	mu          sync.Mutex
 	incarnation string
 	running     map[*sequence]bool
-	steps       int
-	coldUntil   int
-	lastStep    time.Duration
-	wake        chan struct{}
+	// paused holds requests that gave their slot to priority work.
+	paused []*sequence
+	// reports holds the loads that are not older than the lag, and one that is.
+	reports   []timedLoad
+	steps     int
+	coldUntil int
+	lastStep  time.Duration
+	wake      chan struct{}
 }
 
 // sequence is one running request.
 type sequence struct {
-	id     string
-	tokens chan int
-	next   int
-	length int
-	gone   bool
-	failed bool
+	id       string
+	tokens   chan int
+	next     int
+	length   int
+	priority bool
+	gone     bool
+	failed   bool
 }
 
 // New returns a cold engine. Run must be called for it to step.
@@ -137,6 +145,11 @@
 		close(q.tokens)
 		delete(s.running, q)
 	}
+	for _, q := range s.paused {
+		q.failed = true
+		close(q.tokens)
+	}
+	s.paused = nil
 }
 
 // stepTime returns the time of the next step. The caller holds the lock.
@@ -162,6 +175,10 @@
 			delete(s.running, q)
 		}
 	}
+	for len(s.paused) > 0 && len(s.running) < s.cfg.Slots {
+		s.running[s.paused[0]] = true
+		s.paused = s.paused[1:]
+	}
 }
 
 // load is the engine's report of its load.
@@ -184,13 +201,29 @@
 		}
 		skew = recent
 	}
-	return c.JSON(http.StatusOK, load{
+	return c.JSON(http.StatusOK, s.lagged(load{
 		Incarnation: s.incarnation,
 		Cold:        s.steps < s.coldUntil && s.steps == 0,
 		StepMillis:  float64(s.lastStep) / float64(time.Millisecond),
 		Skew:        skew,
 		Running:     len(s.running),
-	})
+	}, time.Now()))
+}
+
+// timedLoad is a load and when it was true.
+type timedLoad struct {
+	at   time.Time
+	load load
+}
+
+// lagged keeps the load of now and returns the newest one that is as old as the
+// lag, or the oldest of all. The caller holds the lock.
+func (s *Server) lagged(l load, now time.Time) load {
+	s.reports = append(s.reports, timedLoad{at: now, load: l})
+	for len(s.reports) > 1 && now.Sub(s.reports[1].at) >= s.cfg.LoadLag {
+		s.reports = s.reports[1:]
+	}
+	return s.reports[0].load
 }
 
 // request is what the engine reads of a chat completion.
@@ -213,6 +246,15 @@
 	if q.length <= 0 {
 		q.length = defaultLength
 	}
+	q.priority = c.Request().Header.Get(headerPriority) != ""
+	if from := c.Request().Header.Get(headerResumeFrom); from != "" {
+		offset, err := strconv.Atoi(from)
+		if err != nil || offset < 0 || offset >= q.length {
+			return c.JSON(http.StatusBadRequest, echo.Map{"error": "the offset is not in the answer"})
+		}
+		q.next = offset
+		c.Response().Header().Set(headerResumedFrom, from)
+	}
 	q.tokens = make(chan int, q.length+1)
 	if !s.start(q) {
 		return c.NoContent(http.StatusTooManyRequests)
@@ -222,10 +264,22 @@
 	return s.stream(c, q, words)
 }
 
+// Headers of the engine's protocol.
+const (
+	// headerPriority marks a request that takes the slot of another when all
+	// are taken.
+	headerPriority = "X-Priority"
+	// headerResumeFrom asks for an answer from after a number of tokens on, and
+	// headerResumedFrom says that it is.
+	headerResumeFrom  = "X-Resume-From"
+	headerResumedFrom = "X-Resumed-From"
+)
+
+// start gives a request a slot. It reports false when there is none.
 func (s *Server) start(q *sequence) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.running) >= s.cfg.Slots {
+	if len(s.running) >= s.cfg.Slots && !(q.priority && s.pause()) {
 		return false
 	}
 	s.running[q] = true
@@ -236,6 +290,19 @@
 	return true
 }
 
+// pause takes the slot of a request without priority, which goes on once a slot
+// is free. The caller holds the lock.
+func (s *Server) pause() bool {
+	for q := range s.running {
+		if !q.priority {
+			delete(s.running, q)
+			s.paused = append(s.paused, q)
+			return true
+		}
+	}
+	return false
+}
+
 // leave takes a request out at the next step.
 func (s *Server) leave(q *sequence) {
 	s.mu.Lock()
