Shift the popularity before waiting for another map

The session took the first map that it saw for the even one; when it was the planner's already, no further map was due, as the popularity stood still. Ruled out: a switch that hangs (all ranks were ready, with the same map and fencing number, and steps went on); a longer wait, which would not help. Change: the popularity shifts before the second map is awaited. Every check stays.

--- a/lab/sessions/group_test.go
+++ b/lab/sessions/group_test.go
@@ -222,6 +222,9 @@
 
 	r.Note("the planner replaces the even map")
 	first := newVersion(t, d, 0)
+	// The first map that is seen may be the planner's already, which then has no
+	// cause to plan another one before the popularity shifts.
+	shift(t, d)
 	second := newVersion(t, d, first)
 	r.Line("a new map is in force on all ranks")
 
