Give the attempt filter a link to upstreams

Cause: the attempt filter called agents itself, so attempts could reach an upstream in no other way. Ruled out: a second attempt filter for upstreams without an agent, which would repeat retries, accounting and the answers to callers. Change: Link and Exchange carry the attempts; AgentLink holds what was the filter's own code for agents. Replies take the whole header of an answer.

--- a/pkg/entry/chat_reply.go
+++ b/pkg/entry/chat_reply.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"net/http"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
@@ -16,11 +18,11 @@
 }
 
 // Head implements pipe.Reply.
-func (w *chatReply) Head(status int, contentType string) error {
+func (w *chatReply) Head(status int, header http.Header) error {
 	if w.inner == nil {
 		w.inner = w.choose()
 	}
-	return w.inner.Head(status, contentType)
+	return w.inner.Head(status, header)
 }
 
 func (w *chatReply) choose() committer {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -84,7 +84,7 @@
 	}
 	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f, entries, agents)
 	store.RegisterMetrics(reg)
-	e.chain = attempt.New(cfg.Attempt, f, agents, reg)
+	e.chain = attempt.New(cfg.Attempt, f, attempt.NewAgentLink(agents), reg)
 	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
 	e.chain = route.New(e.chain)
--- a/pkg/entry/reply.go
+++ b/pkg/entry/reply.go
@@ -28,8 +28,8 @@
 }
 
 // Head implements pipe.Reply.
-func (h *head) Head(status int, contentType string) error {
-	h.status, h.contentType = status, contentType
+func (h *head) Head(status int, header http.Header) error {
+	h.status, h.contentType = status, header.Get(echo.HeaderContentType)
 	return nil
 }
 
--- a/pkg/entry/reply_test.go
+++ b/pkg/entry/reply_test.go
@@ -27,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			answer := httptest.NewRecorder()
 			w := newEventReply(echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/", nil), answer))
-			_ = w.Head(tc.status, "text/plain")
+			_ = w.Head(tc.status, http.Header{"Content-Type": {"text/plain"}})
 			for _, part := range tc.parts {
 				_ = w.Data([]byte(part))
 			}
@@ -57,7 +57,7 @@
 		`{`: false,
 	} {
 		w := newWholeReply(nil)
-		_ = w.Head(http.StatusOK, "text/event-stream")
+		_ = w.Head(http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}})
 		if err := w.Data([]byte(part)); (err == nil) != want {
 			t.Errorf("%s: %v", part, err)
 		}
--- a/pkg/filter/attempt/at_once_test.go
+++ b/pkg/filter/attempt/at_once_test.go
@@ -32,7 +32,7 @@
 	}))
 	t.Cleanup(s.Close)
 	h := New(Config{Silence: time.Minute, AskTimeout: time.Hour, RetryBurst: 1},
-		&agentsInTurn{addresses: []string{s.URL}}, peer.NewAgentClient("token"), prometheus.NewRegistry())
+		&agentsInTurn{addresses: []string{s.URL}}, NewAgentLink(peer.NewAgentClient("token")), prometheus.NewRegistry())
 	go func() {
 		defer close(answered)
 		expectRefusal(t, h, problem.ReasonNoRoom, problem.RanNo, http.StatusServiceUnavailable)
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"net/url"
+	"net/http"
 	"sync"
 	"time"
 
@@ -14,12 +14,9 @@
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/queue"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
-	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/retry"
-	"github.com/acaciaglade/acaciaglade/pkg/stream"
-	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
 // Config is the settings of the filter.
@@ -44,7 +41,7 @@
 type filter struct {
 	cfg     Config
 	fleet   Fleet
-	agents  *peer.AgentClient
+	link    Link
 	retries *prometheus.CounterVec
 
 	mu     sync.Mutex
@@ -52,7 +49,7 @@
 }
 
 // New returns the filter.
-func New(cfg Config, f Fleet, agents *peer.AgentClient, reg prometheus.Registerer) pipe.Handler {
+func New(cfg Config, f Fleet, link Link, reg prometheus.Registerer) pipe.Handler {
 	retries := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "acaciaglade_retries_total",
 		Help: "Attempts after the first, by the reason of the retry.",
@@ -61,7 +58,7 @@
 	return &filter{
 		cfg:     cfg,
 		fleet:   f,
-		agents:  agents,
+		link:    link,
 		retries: retries,
 		budget:  retry.NewBudget(cfg.RetryRatio, cfg.RetryBurst),
 	}
@@ -73,9 +70,10 @@
 	f.budget.Earn()
 	f.mu.Unlock()
 	j := &job{
-		filter:  f,
-		request: r,
-		state:   retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline},
+		filter:   f,
+		request:  r,
+		exchange: f.link.Open(r),
+		state:    retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline},
 	}
 	defer func() {
 		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Served()-r.Cost)
@@ -119,11 +117,13 @@
 type job struct {
 	*filter
 	request  *pipe.Request
+	exchange Exchange
 	state    retry.Request
-	verifier *stream.Verifier
 	attempts int
 	// refusal is the last refusal of an agent.
 	refusal *api.Refusal
+	// silent fires when the upstream's side has shown no sign of life for long.
+	silent *time.Timer
 }
 
 // attempt runs one attempt to its end. It returns retry.Again when another one
@@ -131,32 +131,34 @@
 func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
 	j.attempts++
 	j.refusal = nil
-	j.begin()
+	if !j.state.Relayed {
+		j.request.Reply.Restart()
+	}
 	failed := true
 	defer func() { j.fleet.Release(j.request.ID, failed) }()
-	event, err := j.send(ctx, u)
+	result := j.listen(ctx, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.attempts, j) })
 	for {
-		if err == nil && errors.Is(ctx.Err(), context.Canceled) {
-			err = problem.New(problem.ReasonCallerGone, "")
+		if result.Err == nil && errors.Is(ctx.Err(), context.Canceled) {
+			result.Err = problem.New(problem.ReasonCallerGone, "")
 		}
-		if err != nil {
+		if result.Err != nil {
 			// The caller's end failed, not the upstream.
 			failed = false
 			j.abandon(u, j.attempts)
-			return retry.Done, err
+			return retry.Done, result.Err
 		}
-		action := j.next(&j.state, event)
-		j.request.Decide(action.String(), event.String(), u.Report.Upstream)
+		action := j.next(&j.state, result.Event)
+		j.request.Decide(action.String(), result.Event.String(), u.Report.Upstream)
 		switch action {
 		case retry.Ask:
-			event = j.ask(u)
+			result = j.ask(u)
 		case retry.Resume:
-			event, err = j.resume(ctx, u)
+			result = j.listen(ctx, func(ctx context.Context) Result { return j.exchange.Resume(ctx, u, j) })
 		case retry.Done:
 			failed = false
 			return action, j.request.Reply.End()
 		case retry.Again:
-			if event != retry.NotRun {
+			if result.Event != retry.NotRun {
 				go j.abandon(u, j.attempts)
 			}
 			return action, nil
@@ -168,108 +170,59 @@
 	}
 }
 
-// begin prepares for an answer that begins at its first frame. What the caller
-// already has is not relayed again.
-func (j *job) begin() {
-	if j.state.Relayed {
-		j.verifier.Rerun()
-		return
-	}
-	j.verifier = stream.NewVerifier(j.request.ID)
-	j.request.Reply.Restart()
-}
-
-// send sends the attempt and relays its answer.
-func (j *job) send(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
-	r := j.request
+// listen runs a step that reads an answer, until it is silent for too long.
+func (j *job) listen(ctx context.Context, step func(context.Context) Result) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timer := time.AfterFunc(j.silence(), cancel)
-	defer timer.Stop()
-	body, err := j.agents.Attempt(ctx, u.Address, &api.AttemptRequest{
-		RequestID:         r.ID,
-		Attempt:           j.attempts,
-		Incarnation:       u.Report.Incarnation,
-		Organisation:      r.Organisation.Name,
-		Weight:            r.Organisation.Weight,
-		Entry:             u.Entry,
-		Cost:              r.Cost,
-		PromptCost:        r.PromptCost,
-		Virtual:           u.Virtual,
-		Service:           r.Service.Name,
-		Model:             r.Service.Kind == table.KindModel,
-		Priority:          r.Organisation.Priority,
-		Idempotent:        r.Idempotent,
-		IdempotencyKey:    r.IdempotencyKey,
-		DeadlineUnixMilli: r.Deadline.UnixMilli(),
-		SentUnixMilli:     time.Now().UnixMilli(),
-		Method:            r.Method,
-		Path:              upstreamPath(r),
-		ContentType:       r.ContentType,
-		Body:              r.Body,
-	})
-	if err != nil {
-		return j.sendEvent(err), nil
-	}
-	defer body.Close()
-	return j.relay(body, timer)
-}
-
-// upstreamPath returns the path and query of the upstream's call. The path is
-// encoded, so that the upstream decodes it to the one that was judged.
-func upstreamPath(r *pipe.Request) string {
-	u := url.URL{Path: r.Path, RawQuery: r.Query}
-	return u.RequestURI()
+	j.silent = time.AfterFunc(j.silence(), cancel)
+	defer j.silent.Stop()
+	return j.keep(step(ctx))
 }
 
-// resume reads the answer on from where it stopped, on a new connection.
-func (j *job) resume(ctx context.Context, u fleet.Upstream) (retry.EventKind, error) {
-	ctx, cancel := context.WithCancel(ctx)
+// ask asks for the state of the request.
+func (j *job) ask(u fleet.Upstream) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
 	defer cancel()
-	timer := time.AfterFunc(j.silence(), cancel)
-	defer timer.Stop()
-	body, err := j.agents.Resume(ctx, u.Address, j.request.ID, j.verifier.Next())
-	if err != nil {
-		return retry.Silent, nil
-	}
-	defer body.Close()
-	return j.relay(body, timer)
+	return j.keep(j.exchange.Ask(ctx, u, j.attempts))
 }
 
-const (
-	// askTries is how often the state of a request is asked for.
-	askTries = 3
-	// askPause is the time between two tries.
-	askPause = 100 * time.Millisecond
-)
-
-// ask asks the agent for the state of the request. A question that failed is
-// repeated a few times, as the connection may have broken for a moment only.
-func (j *job) ask(u fleet.Upstream) retry.EventKind {
-	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
-	defer cancel()
-	for try := 1; ; try++ {
-		outcome, err := j.agents.Withdraw(ctx, u.Address, &api.WithdrawRequest{
-			RequestID:         j.request.ID,
-			Attempt:           j.attempts,
-			Incarnation:       u.Report.Incarnation,
-			DeadlineUnixMilli: j.request.Deadline.UnixMilli(),
-		})
-		if err == nil {
-			return j.askEvent(outcome)
-		}
-		if try == askTries || ctx.Err() != nil {
-			return retry.Unknown
-		}
-		time.Sleep(askPause)
+// keep keeps the refusal of a result.
+func (j *job) keep(result Result) Result {
+	if result.Refusal != nil {
+		j.refusal = result.Refusal
 	}
+	return result
 }
 
-// abandon tells the agent that nobody waits for an attempt any more.
+// abandon tells the upstream's side that nobody waits for an attempt any more.
 func (j *job) abandon(u fleet.Upstream, attempt int) {
 	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.AskTimeout)
 	defer cancel()
-	_ = j.agents.Cancel(ctx, u.Address, j.request.ID, attempt)
+	j.exchange.Abandon(ctx, u, attempt)
+}
+
+// Alive implements Sink.
+func (j *job) Alive() { j.silent.Reset(j.silence()) }
+
+// Report implements Sink.
+func (j *job) Report(r api.Report) { j.fleet.Report(r) }
+
+// Head implements Sink.
+func (j *job) Head(status int, header http.Header) error {
+	j.fleet.Started(j.request.ID)
+	return j.request.Reply.Head(status, header)
+}
+
+// Data implements Sink.
+func (j *job) Data(part []byte) error {
+	r := j.request
+	r.Spent++
+	if r.FirstPart.IsZero() {
+		r.FirstPart = time.Now()
+	}
+	err := r.Reply.Data(part)
+	j.state.Progress(r.Reply.Relayed())
+	return err
 }
 
 // reason returns the reason of the last attempt's end.
@@ -326,6 +279,8 @@
 	return p
 }
 
+var _ Sink = (*job)(nil)
+
 // retryAfterUnknown is the time after which a request with an unknown outcome
 // may be sent again.
 const retryAfterUnknown = 2 * time.Second
--- a/pkg/filter/attempt/budget_test.go
+++ b/pkg/filter/attempt/budget_test.go
@@ -84,7 +84,7 @@
 				fleet.addresses = append(fleet.addresses, address)
 			}
 			h := New(Config{Silence: 5 * time.Second, AskTimeout: time.Second, RetryRatio: 0.1, RetryBurst: 10},
-				fleet, peer.NewAgentClient("token"), registry)
+				fleet, NewAgentLink(peer.NewAgentClient("token")), registry)
 			var requests sync.WaitGroup
 			for range failingRequests {
 				requests.Go(func() { expectRefusal(t, h, tc.told, tc.ran, tc.status) })
--- a/pkg/filter/attempt/fuzz_test.go
+++ b/pkg/filter/attempt/fuzz_test.go
@@ -22,15 +22,16 @@
 	f.Add([]byte(`{"kind":"data","request_id":"r","seq":-1}` + `{"kind":"final","request_id":"x"}` + `{"kind":7}[]null`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		reply := &heldReply{relays: true}
+		request := &pipe.Request{ID: "r", Reply: reply}
+		x := &agentExchange{request: request, verifier: stream.NewVerifier("r")}
 		j := &job{
-			filter:   &filter{cfg: Config{Silence: time.Minute}, fleet: &agentsInTurn{}},
-			request:  &pipe.Request{ID: "r", Reply: reply},
-			verifier: stream.NewVerifier("r"),
+			filter:  &filter{cfg: Config{Silence: time.Minute}, fleet: &agentsInTurn{}},
+			request: request,
+			silent:  time.NewTimer(time.Minute),
 		}
-		timer := time.NewTimer(time.Minute)
-		defer timer.Stop()
-		event, err := j.relay(bytes.NewReader(body), timer)
-		if err != nil || event != retry.Complete {
+		defer j.silent.Stop()
+		result := x.relay(bytes.NewReader(body), j)
+		if result.Err != nil || result.Event != retry.Complete {
 			return
 		}
 		if want := finalChecksum(body); want != checksum(reply.body) {
--- a/pkg/filter/attempt/relay_bench_test.go
+++ b/pkg/filter/attempt/relay_bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/retry"
 	"github.com/acaciaglade/acaciaglade/pkg/stream"
 )
 
@@ -29,15 +30,16 @@
 		_ = encoder.Encode(api.Frame{Kind: api.FrameData, RequestID: "r", Seq: i + 1, Data: event})
 	}
 	_ = encoder.Encode(api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeComplete, Count: sum.Count(), Checksum: sum.Sum()})
-	f := &filter{cfg: Config{Silence: time.Minute}}
+	f := &filter{cfg: Config{Silence: time.Minute}, fleet: &agentsInTurn{}}
 	b.ReportAllocs()
 	for b.Loop() {
-		j := &job{filter: f, request: &pipe.Request{ID: "r", Reply: &discardReply{}}, verifier: stream.NewVerifier("r")}
-		timer := time.NewTimer(time.Minute)
-		if event, err := j.relay(bytes.NewReader(answer.Bytes()), timer); err != nil || event.String() != "the whole answer was relayed" {
-			b.Fatal(event, err)
+		request := &pipe.Request{ID: "r", Reply: &discardReply{}}
+		x := &agentExchange{request: request, verifier: stream.NewVerifier("r")}
+		j := &job{filter: f, request: request, silent: time.NewTimer(time.Minute)}
+		if result := x.relay(bytes.NewReader(answer.Bytes()), j); result.Err != nil || result.Event != retry.Complete {
+			b.Fatal(result.Event, result.Err)
 		}
-		timer.Stop()
+		j.silent.Stop()
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
 }
--- a/pkg/filter/attempt/restart_test.go
+++ b/pkg/filter/attempt/restart_test.go
@@ -49,7 +49,7 @@
 	body   string
 }
 
-func (r *heldReply) Head(int, string) error { return nil }
+func (r *heldReply) Head(int, http.Header) error { return nil }
 func (r *heldReply) Data(part []byte) error { r.body += string(part); return nil }
 func (r *heldReply) End() error             { return nil }
 func (r *heldReply) Relayed() bool          { return r.relays && r.body != "" }
@@ -96,7 +96,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			agents := &agentsInTurn{addresses: []string{newAgent(t, false, tc.first), newAgent(t, true, "one ", "two")}}
 			h := New(Config{Silence: 5 * time.Second, AskTimeout: time.Second, RetryRatio: 0.1, RetryBurst: 10},
-				agents, peer.NewAgentClient("token"), prometheus.NewRegistry())
+				agents, NewAgentLink(peer.NewAgentClient("token")), prometheus.NewRegistry())
 			reply := &heldReply{relays: tc.relays}
 			err := h.Serve(t.Context(), &pipe.Request{
 				ID: "r", Organisation: &table.Organisation{}, Service: &table.Service{},
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -80,9 +80,9 @@
 
 // Reply takes the parts of an answer in order.
 type Reply interface {
-	// Head takes the status and media type of the answer. Until the first part
-	// is taken, a later head replaces it.
-	Head(status int, contentType string) error
+	// Head takes the status and the header of the answer. Until the first part is
+	// taken, a later head replaces it.
+	Head(status int, header http.Header) error
 	// Data takes the next part of the answer.
 	Data(part []byte) error
 	// End is called once the whole answer was taken and verified.
