Serve callers of the platform from the entry, thin

Ruled out: a hop through the agents beside the engines, which costs a second processor and wake-up for every event of a stream. The product grows by routes by host and path, the directory that joins configuration and table, the age of keys, a dispatcher for upstreams that the entry calls itself, connections that never send twice, and retries bounded by a sliding window.

--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -79,7 +79,14 @@
 			RetryRatio: s.RetryRatio,
 			RetryBurst: s.RetryBurst,
 		},
-	}, store, view, agents, prometheus.NewRegistry())
+	}, entry.Parts{
+		Store:    store,
+		Relay:    true,
+		Fleet:    view,
+		Link:     attempt.NewAgentLink(agents),
+		Agents:   agents,
+		Registry: prometheus.NewRegistry(),
+	})
 }
 
 type checkCommand struct {
--- /dev/null
+++ b/pkg/dispatch/dispatch.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/fairqueue"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/selection"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// Config is the settings of a dispatcher.
+type Config struct {
+	// FailureDomain is the entry's own. Its upstreams are preferred.
+	FailureDomain string
+	// Seed seeds the choice among equal upstreams.
+	Seed uint64
+	// ColdShare is the part of a cold upstream's rate that this entry may use.
+	ColdShare float64
+	// RankLimit is how many requests a rank may have, 0 for its slots.
+	RankLimit int
+	// MaxWait is the longest wait of a request.
+	MaxWait time.Duration
+}
+
+// Request is a request that asks for an upstream.
+type Request struct {
+	ID           string
+	Service      string
+	Organisation string
+	Weight       int
+	Priority     bool
+	// Cost is the expected cost in tokens.
+	Cost float64
+	// Deadline is when the caller no longer waits.
+	Deadline time.Time
+	// Tried are the upstreams that the request was sent to before.
+	Tried []string
+}
+
+// Decision gives a waiting request its upstream, or refuses it.
+type Decision struct {
+	ID       string
+	Upstream Upstream
+	// Refusal is set when the request is refused.
+	Refusal *problem.Problem
+}
+
+// Dispatcher is the state of one entry.
+type Dispatcher struct {
+	cfg      Config
+	rand     *rand.Rand
+	services map[string]*service
+	sent     map[string]*sent
+	out      func(upstream, domain string) bool
+}
+
+// service is the queue and the upstreams of one service.
+type service struct {
+	queue      *fairqueue.Queue
+	waiting    map[string]*Request
+	candidates []*candidate
+	engine     *table.Engine
+	cold       float64
+}
+
+// sent is an attempt on its way.
+type sent struct {
+	service   *service
+	candidate *candidate
+	at        time.Time
+}
+
+// New returns an empty dispatcher.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:      cfg,
+		rand:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+		services: make(map[string]*service),
+		sent:     make(map[string]*sent),
+		out:      func(string, string) bool { return false },
+	}
+}
+
+func (d *Dispatcher) service(name string) *service {
+	s, ok := d.services[name]
+	if !ok {
+		s = &service{queue: fairqueue.New(), waiting: make(map[string]*Request)}
+		d.services[name] = s
+	}
+	return s
+}
+
+// SetIndex takes a new version of the table.
+func (d *Dispatcher) SetIndex(ix *table.Index, now time.Time) []Decision {
+	d.out = ix.Out
+	for _, t := range ix.Table().Services {
+		s := d.service(t.Name)
+		s.engine, s.cold = t.Engine, t.ColdPerSecond
+	}
+	var decisions []Decision
+	for _, s := range d.services {
+		for _, c := range s.candidates {
+			c.out = d.out(c.ID, c.FailureDomain)
+		}
+		decisions = append(decisions, d.grant(s, now)...)
+	}
+	return decisions
+}
+
+// SetUpstreams takes the upstreams that the platform lists now.
+func (d *Dispatcher) SetUpstreams(list []Upstream, now time.Time) []Decision {
+	byService := make(map[string][]Upstream)
+	for _, u := range list {
+		byService[u.Service] = append(byService[u.Service], u)
+		d.service(u.Service)
+	}
+	var decisions []Decision
+	for name, s := range d.services {
+		s.replace(byService[name], d.out)
+		decisions = append(decisions, d.grant(s, now)...)
+	}
+	return decisions
+}
+
+// replace takes a service's upstreams. What was seen of one that stays is kept.
+func (s *service) replace(list []Upstream, out func(upstream, domain string) bool) {
+	kept := make([]*candidate, 0, len(list))
+	for _, u := range list {
+		i := slices.IndexFunc(s.candidates, func(c *candidate) bool {
+			return c.ID == u.ID && c.Incarnation == u.Incarnation && c.Address == u.Address
+		})
+		c := &candidate{}
+		if i >= 0 {
+			c = s.candidates[i]
+		}
+		c.Upstream = u
+		c.out = out(u.ID, u.FailureDomain)
+		kept = append(kept, c)
+	}
+	s.candidates = kept
+}
+
+// Arrive queues a request and returns the decisions that follow.
+func (d *Dispatcher) Arrive(r Request, now time.Time) []Decision {
+	s := d.service(r.Service)
+	s.waiting[r.ID] = &r
+	deadline := r.Deadline
+	if most := now.Add(d.cfg.MaxWait); most.Before(deadline) {
+		deadline = most
+	}
+	s.queue.Push(&fairqueue.Item{
+		ID:           r.ID,
+		Organisation: r.Organisation,
+		Weight:       r.Weight,
+		Priority:     r.Priority,
+		Cost:         r.Cost,
+		Deadline:     deadline,
+	}, now)
+	return d.grant(s, now)
+}
+
+// Cancel removes a waiting request.
+func (d *Dispatcher) Cancel(serviceName, id string) {
+	s := d.service(serviceName)
+	s.queue.Remove(id)
+	delete(s.waiting, id)
+}
+
+// Ended records that an attempt has ended, and returns the decisions that follow.
+func (d *Dispatcher) Ended(id string, f Failure, now time.Time) []Decision {
+	a, ok := d.sent[id]
+	if !ok {
+		return nil
+	}
+	delete(d.sent, id)
+	a.candidate.own--
+	a.candidate.failed(f, now)
+	return d.grant(a.service, now)
+}
+
+// Load records how many requests an upstream had when it answered.
+func (d *Dispatcher) Load(serviceName, id string, total int, now time.Time) {
+	for _, c := range d.service(serviceName).candidates {
+		if c.ID == id {
+			c.others, c.othersAt = max(0, total-c.own), now
+		}
+	}
+}
+
+// Tick refuses what has waited too long.
+func (d *Dispatcher) Tick(now time.Time) []Decision {
+	var decisions []Decision
+	for _, s := range d.services {
+		for _, it := range s.queue.Expire(now) {
+			delete(s.waiting, it.ID)
+			decisions = append(decisions, Decision{ID: it.ID, Refusal: problem.New(problem.ReasonOverloaded, "")})
+		}
+		decisions = append(decisions, d.grant(s, now)...)
+	}
+	return decisions
+}
+
+// grant hands out upstreams while both a request and an upstream are there.
+func (d *Dispatcher) grant(s *service, now time.Time) []Decision {
+	var decisions []Decision
+	for s.queue.Len() > 0 {
+		var chosen *candidate
+		it := s.queue.Next(func(it *fairqueue.Item) fairqueue.Verdict {
+			chosen = d.choose(s, s.waiting[it.ID], now)
+			if chosen == nil {
+				return fairqueue.Pass
+			}
+			return fairqueue.Go
+		})
+		if it == nil {
+			break
+		}
+		s.queue.Take(it, now)
+		delete(s.waiting, it.ID)
+		chosen.own++
+		chosen.sends.add(now)
+		d.sent[it.ID] = &sent{service: s, candidate: chosen, at: now}
+		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream})
+	}
+	return decisions
+}
+
+// choose returns the upstream for a request, or nil when none has room.
+func (d *Dispatcher) choose(s *service, r *Request, now time.Time) *candidate {
+	var best *candidate
+	equal, least := 0, 0.0
+	for _, c := range s.candidates {
+		if !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
+			continue
+		}
+		load := float64(c.occupied())
+		if c.FailureDomain != d.cfg.FailureDomain {
+			load += 0.5
+		}
+		switch {
+		case best == nil || load < least:
+			best, least, equal = c, load, 1
+		case load == least:
+			equal++
+			if d.rand.IntN(equal) == 0 {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
+// room reports whether a candidate can take one more request.
+func (d *Dispatcher) room(s *service, c *candidate, now time.Time) bool {
+	limit := c.Slots
+	if c.Group.Name != "" {
+		if !c.Group.Open {
+			return false
+		}
+		if d.cfg.RankLimit > 0 {
+			limit = d.cfg.RankLimit
+		}
+	}
+	if c.occupied() >= limit {
+		return false
+	}
+	return s.cold <= 0 || float64(c.sends.count(now)) < max(1, s.cold*d.cfg.ColdShare)
+}
+
+// Attain corrects an organisation's share by the difference between the real and
+// the expected cost of a request.
+func (d *Dispatcher) Attain(serviceName, organisation string, weight int, difference float64, now time.Time) {
+	d.service(serviceName).queue.Charge(organisation, weight, difference, now)
+}
+
+// Candidates returns the upstreams of a service as this entry sees them.
+func (d *Dispatcher) Candidates(serviceName string, now time.Time) []selection.Candidate {
+	var list []selection.Candidate
+	for _, c := range d.service(serviceName).candidates {
+		list = append(list, selection.Candidate{
+			Report: api.Report{
+				Upstream: c.ID, FailureDomain: c.FailureDomain, Service: c.Service, Incarnation: c.Incarnation,
+				Limit: c.Slots, Running: c.occupied(), Ready: c.usable(), Leaving: c.Leaving,
+			},
+			ReceivedAt: now,
+			InFlight:   c.own,
+			Out:        c.out,
+			AvoidUntil: c.avoidUntil,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/dispatch/upstream.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// Upstream is what the platform says of one upstream.
+type Upstream struct {
+	// ID names one incarnation's registration, Address is its host and port.
+	ID      string
+	Address string
+	Service string
+	// FailureDomain is where the upstream stands.
+	FailureDomain string
+	// Incarnation is fresh at each start of the upstream.
+	Incarnation string
+	// Slots is how many requests the upstream runs at once.
+	Slots int
+	// Leaving is true once the upstream must get no new request.
+	Leaving bool
+	// Group is set when the upstream is a rank of a group.
+	Group Group
+}
+
+// Group is a rank's place in its group.
+type Group struct {
+	// Name is empty for an upstream that is no rank.
+	Name  string
+	Epoch uint64
+	Rank  int
+	Size  int
+	// Open is false while the group runs nothing.
+	Open bool
+}
+
+// Failure is how an attempt at an upstream went wrong.
+type Failure int
+
+// Failures of attempts.
+const (
+	// FailureNone means that the upstream answered as it should.
+	FailureNone Failure = iota
+	// FailureFull means that the upstream refused the request for want of room.
+	FailureFull
+	// FailureStalled means that the upstream's group has stopped.
+	FailureStalled
+	// FailureGone means that another upstream has the address.
+	FailureGone
+	// FailureUnreachable means that no connection was made.
+	FailureUnreachable
+	// FailureBroken means that the answer broke off, never came, or was not one.
+	FailureBroken
+	// FailureError means that the upstream answered with an error of its own.
+	FailureError
+)
+
+// Bounds of the time for which a failing upstream is passed over.
+const (
+	// avoidFirst follows a first failure; each further one doubles it.
+	avoidFirst = 250 * time.Millisecond
+	// avoidMost is the longest, so that a repaired upstream is soon used again.
+	avoidMost = 4 * time.Second
+	// avoidFull follows a refusal for want of room; a request takes about as long.
+	avoidFull = 50 * time.Millisecond
+)
+
+// candidate is one upstream with what this entry has seen of it.
+type candidate struct {
+	Upstream
+	out bool
+	// own is how many attempts of this entry are there.
+	own int
+	// others is how many attempts of other entries are there, as far as known.
+	others     int
+	othersAt   time.Time
+	avoidUntil time.Time
+	failures   int
+	sends      window
+}
+
+// usable reports whether the candidate takes requests at all.
+func (c *candidate) usable() bool { return !c.out && !c.Leaving }
+
+// occupied is how many requests the candidate has.
+func (c *candidate) occupied() int { return c.own + c.others }
+
+// failed records the end of an attempt.
+func (c *candidate) failed(f Failure, now time.Time) {
+	switch f {
+	case FailureNone, FailureStalled:
+		c.failures = 0
+	case FailureFull:
+		c.avoidUntil = later(c.avoidUntil, now.Add(avoidFull))
+	case FailureGone:
+		c.Leaving = true
+	case FailureError:
+	default:
+		c.avoidUntil = later(c.avoidUntil, now.Add(min(avoidMost, avoidFirst<<min(c.failures, 8))))
+		c.failures++
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// window counts the sends of the last second.
+type window struct{ at []time.Time }
+
+// windowLength is the span of the platform's bound for cold upstreams.
+const windowLength = time.Second
+
+func (w *window) add(now time.Time) { w.at = append(w.at, now) }
+
+func (w *window) count(now time.Time) int {
+	for len(w.at) > 0 && now.Sub(w.at[0]) > windowLength {
+		w.at = w.at[1:]
+	}
+	return len(w.at)
+}
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -42,12 +42,6 @@
 
 // receive fills in what can be refused before the filters see the request.
 func (e *Entry) receive(c echo.Context, r *pipe.Request) error {
-	if e.stopping.Load() {
-		return problem.New(problem.ReasonStopping, "")
-	}
-	if r.Index = e.store.Index(); r.Index == nil {
-		return problem.New(problem.ReasonNotReady, "")
-	}
 	if len(r.IdempotencyKey) > maxKeyLength {
 		return problem.New(problem.ReasonBadRequest, "the Idempotency-Key is longer than "+strconv.Itoa(maxKeyLength)+" characters")
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,13 +18,14 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/authenticate"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/freshness"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/route"
-	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/operator"
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
 )
 
@@ -47,6 +48,9 @@
 	MaxBodyBytes int64
 	// LeaveDelay is how long the entry stays reachable after it began to leave.
 	LeaveDelay time.Duration
+	// ServeWhileLeaving is true when requests that still arrive while the entry
+	// leaves are served: callers keep open connections until it is gone.
+	ServeWhileLeaving bool
 	// CeilingBurst is the time for which an unused ceiling can be saved up.
 	CeilingBurst time.Duration
 	// Deadline and Attempt are the settings of the filters.
@@ -54,42 +58,106 @@
 	Attempt  attempt.Config
 }
 
+// Fleet is the entry's view of its upstreams.
+type Fleet interface {
+	attempt.Fleet
+	operator.Fleet
+	// Entries returns the number of entry hosts.
+	Entries() int
+	// SetIndex takes a new version of the table.
+	SetIndex(ix *table.Index)
+	// Run keeps the view up to date until ctx ends.
+	Run(ctx context.Context)
+}
+
+// Directory holds the table in force.
+type Directory interface {
+	// Index returns the table in force, nil before one is known, and how old the
+	// proof is that its keys are valid.
+	Index() (*table.Index, time.Duration)
+	// Subscribe calls fn with each newer table from now on.
+	Subscribe(fn func(*table.Index))
+}
+
+// Parts are what an entry is made of.
+type Parts struct {
+	// Store keeps the operators' table.
+	Store *tablestore.Store
+	// Directory holds the table in force, whose routes name what calls need. When
+	// it is nil, the table is the store's and every call needs a token.
+	Directory Directory
+	// MaxKeyAge returns the age beyond which the proof of keys is not trusted, 0
+	// for none. It may be nil.
+	MaxKeyAge func() time.Duration
+	// Relay is true when entries tell each other newer tables.
+	Relay bool
+	Fleet Fleet
+	Link  attempt.Link
+	// Agents calls the agents of other hosts.
+	Agents   *peer.AgentClient
+	Registry *prometheus.Registry
+}
+
 // Entry serves callers and operators.
 type Entry struct {
-	cfg      Config
-	store    *tablestore.Store
-	fleet    *fleet.Fleet
-	exchange *tablestore.Exchange
-	ceilings *ceilings
-	chain    pipe.Handler
-	api      *operator.API
-	registry *prometheus.Registry
-	accounts *accounts
-	stopping atomic.Bool
-	log      *logrus.Entry
+	cfg       Config
+	store     *tablestore.Store
+	directory Directory
+	fleet     Fleet
+	exchange  *tablestore.Exchange
+	ceilings  *ceilings
+	chain     pipe.Handler
+	api       *operator.API
+	registry  *prometheus.Registry
+	accounts  *accounts
+	stopping  atomic.Bool
+	log       *logrus.Entry
 }
 
+// ownTable is the operators' table as the directory of an entry.
+type ownTable struct{ *tablestore.Store }
+
+// Index implements Directory. Keys change only with the table, which entries
+// relay, so their proof has no age.
+func (t ownTable) Index() (*table.Index, time.Duration) { return t.Store.Index(), 0 }
+
 // New builds the filters of an entry.
-func New(cfg Config, store *tablestore.Store, f *fleet.Fleet, agents *peer.AgentClient, reg *prometheus.Registry) *Entry {
+func New(cfg Config, p Parts) *Entry {
 	entries := peer.NewEntryClient(cfg.PeerToken)
+	routed := p.Directory != nil
+	if !routed {
+		p.Directory = ownTable{p.Store}
+	}
+	if p.MaxKeyAge == nil {
+		p.MaxKeyAge = func() time.Duration { return 0 }
+	}
+	f := p.Fleet
 	e := &Entry{
-		cfg:      cfg,
-		store:    store,
-		fleet:    f,
-		exchange: tablestore.NewExchange(store, entries, f.Hosts),
-		ceilings: newCeilings(cfg.Name, cfg.CeilingBurst, entries, f.Hosts, f.Entries),
-		accounts: newAccounts(cfg.Name, agents, f.Hosts, reg),
-		registry: reg,
-		log:      logging.For("entry"),
+		cfg:       cfg,
+		store:     p.Store,
+		directory: p.Directory,
+		fleet:     f,
+		ceilings:  newCeilings(cfg.Name, cfg.CeilingBurst, entries, f.Hosts, f.Entries),
+		accounts:  newAccounts(cfg.Name, p.Agents, f.Hosts, p.Registry),
+		registry:  p.Registry,
+		log:       logging.For("entry"),
 	}
-	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, store, f, entries, agents)
-	store.RegisterMetrics(reg)
-	e.chain = attempt.New(cfg.Attempt, f, attempt.NewAgentLink(agents), reg)
+	if p.Relay {
+		e.exchange = tablestore.NewExchange(p.Store, entries, f.Hosts)
+	}
+	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, p.Store, f, entries, p.Agents)
+	p.Store.RegisterMetrics(p.Registry)
+	e.chain = attempt.New(cfg.Attempt, f, p.Link, p.Registry)
 	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
-	e.chain = route.New(e.chain)
-	e.chain = authenticate.New(e.chain)
-	store.Subscribe(f.SetIndex)
+	e.chain = freshness.New(e.chain, p.MaxKeyAge)
+	if routed {
+		// Whether a call needs a key depends on its route.
+		e.chain = route.New(authenticate.New(e.chain))
+	} else {
+		e.chain = authenticate.New(route.New(e.chain))
+	}
+	p.Directory.Subscribe(f.SetIndex)
 	return e
 }
 
@@ -122,19 +190,42 @@
 }
 
 func (e *Entry) ready(c echo.Context) error {
-	if e.store.Index() == nil || e.stopping.Load() {
+	if !e.Ready() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
 }
 
+// Ready reports whether the entry takes new callers.
+func (e *Entry) Ready() bool {
+	ix, _ := e.directory.Index()
+	return ix != nil && !e.stopping.Load()
+}
+
+// Stopping reports whether the entry has begun to leave.
+func (e *Entry) Stopping() bool { return e.stopping.Load() }
+
 // serve runs a request through the filters and answers refusals.
 func (e *Entry) serve(c echo.Context, r *pipe.Request, reply committer) error {
 	c.Response().Header().Set(HeaderRequestID, r.ID)
-	r.Reply, r.Decisions = reply, e.accounts.decisions
-	err := e.receive(c, r)
+	r.Reply = reply
+	if refusal := e.Serve(c.Request().Context(), r, func() error { return e.receive(c, r) }); refusal != nil {
+		return reply.Refuse(refusal)
+	}
+	return nil
+}
+
+// Serve runs a request through the filters, after receive has filled it in. It
+// returns why the request was refused or broke off, nil when its answer was
+// delivered whole.
+func (e *Entry) Serve(ctx context.Context, r *pipe.Request, receive func() error) *problem.Problem {
+	r.Decisions = e.accounts.decisions
+	err := e.admit(r)
+	if err == nil {
+		err = receive()
+	}
 	if err == nil {
-		err = e.chain.Serve(c.Request().Context(), r)
+		err = e.chain.Serve(ctx, r)
 	}
 	if err == nil {
 		e.accounts.ended(r, nil)
@@ -143,7 +234,18 @@
 	p := asProblem(err)
 	p.RequestID = r.ID
 	e.accounts.ended(r, p)
-	return reply.Refuse(p)
+	return p
+}
+
+// admit gives the request the table in force.
+func (e *Entry) admit(r *pipe.Request) error {
+	if e.stopping.Load() && !e.cfg.ServeWhileLeaving {
+		return problem.New(problem.ReasonStopping, "")
+	}
+	if r.Index, r.IndexAge = e.directory.Index(); r.Index == nil {
+		return problem.New(problem.ReasonNotReady, "")
+	}
+	return nil
 }
 
 func asProblem(err error) *problem.Problem {
@@ -158,7 +260,9 @@
 func (e *Entry) Run(ctx context.Context) {
 	go e.store.Watch(ctx)
 	go e.store.SettleProvisional(ctx)
-	go e.exchange.Run(ctx)
+	if e.exchange != nil {
+		go e.exchange.Run(ctx)
+	}
 	go e.ceilings.run(ctx)
 	e.fleet.Run(ctx)
 }
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -29,6 +29,16 @@
 	RetryRatio float64
 	// RetryBurst is the most retries that can be saved up.
 	RetryBurst float64
+	// NewBudget returns the retry budget of a service. When it is nil, all
+	// services share one of RetryRatio and RetryBurst.
+	NewBudget func() Budget
+}
+
+// Budget bounds the retries at a service.
+type Budget interface {
+	retry.Spender
+	// Earn records a request.
+	Earn(now time.Time)
 }
 
 // Fleet is what the filter needs of the entry's view of upstreams.
@@ -44,8 +54,8 @@
 	link    Link
 	retries *prometheus.CounterVec
 
-	mu     sync.Mutex
-	budget *retry.Budget
+	mu      sync.Mutex
+	budgets map[string]Budget
 }
 
 // New returns the filter.
@@ -55,25 +65,33 @@
 		Help: "Attempts after the first, by the reason of the retry.",
 	}, []string{"reason"})
 	reg.MustRegister(retries)
-	return &filter{
-		cfg:     cfg,
-		fleet:   f,
-		link:    link,
-		retries: retries,
-		budget:  retry.NewBudget(cfg.RetryRatio, cfg.RetryBurst),
+	if cfg.NewBudget == nil {
+		shared := retry.NewBudget(cfg.RetryRatio, cfg.RetryBurst)
+		cfg.NewBudget = func() Budget { return shared }
+	}
+	return &filter{cfg: cfg, fleet: f, link: link, retries: retries, budgets: make(map[string]Budget)}
+}
+
+// budget returns the retry budget of a service. The caller holds the lock.
+func (f *filter) budget(service string) Budget {
+	b, ok := f.budgets[service]
+	if !ok {
+		b = f.cfg.NewBudget()
+		f.budgets[service] = b
 	}
+	return b
 }
 
 // Serve implements pipe.Handler.
 func (f *filter) Serve(ctx context.Context, r *pipe.Request) error {
 	f.mu.Lock()
-	f.budget.Earn()
+	f.budget(r.Service.Name).Earn(time.Now())
 	f.mu.Unlock()
 	j := &job{
 		filter:   f,
 		request:  r,
 		exchange: f.link.Open(r),
-		state:    retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline},
+		state:    retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline, MaxAttempts: r.MaxAttempts},
 	}
 	defer func() {
 		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Served()-r.Cost)
@@ -107,10 +125,10 @@
 	return queue.Acquire(ctx, j.fleet, j.request)
 }
 
-func (f *filter) next(state *retry.Request, event retry.EventKind) retry.Action {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return state.Next(event, f.budget, time.Now())
+func (j *job) next(event retry.EventKind) retry.Action {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.state.Next(event, j.budget(j.request.Service.Name), time.Now())
 }
 
 // job is one request with its attempts.
@@ -119,7 +137,6 @@
 	request  *pipe.Request
 	exchange Exchange
 	state    retry.Request
-	attempts int
 	// refusal is the last refusal of an agent.
 	refusal *api.Refusal
 	// silent fires when the upstream's side has shown no sign of life for long.
@@ -129,14 +146,15 @@
 // attempt runs one attempt to its end. It returns retry.Again when another one
 // is due, and otherwise what the caller is told.
 func (j *job) attempt(ctx context.Context, u fleet.Upstream) (retry.Action, error) {
-	j.attempts++
+	j.state.Attempts++
 	j.refusal = nil
 	if !j.state.Relayed {
 		j.request.Reply.Restart()
 	}
+	j.request.Tried = append(j.request.Tried, u.Report.Upstream)
 	failed := true
-	defer func() { j.fleet.Release(j.request.ID, failed) }()
-	result := j.listen(ctx, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.attempts, j) })
+	defer func() { j.release(failed) }()
+	result := j.listen(ctx, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.state.Attempts, j) })
 	for {
 		if result.Err == nil && errors.Is(ctx.Err(), context.Canceled) {
 			result.Err = problem.New(problem.ReasonCallerGone, "")
@@ -144,10 +162,10 @@
 		if result.Err != nil {
 			// The caller's end failed, not the upstream.
 			failed = false
-			j.abandon(u, j.attempts)
+			j.abandon(u, j.state.Attempts)
 			return retry.Done, result.Err
 		}
-		action := j.next(&j.state, result.Event)
+		action := j.next(result.Event)
 		j.request.Decide(action.String(), result.Event.String(), u.Report.Upstream)
 		switch action {
 		case retry.Ask:
@@ -159,17 +177,26 @@
 			return action, j.request.Reply.End()
 		case retry.Again:
 			if result.Event != retry.NotRun {
-				go j.abandon(u, j.attempts)
+				go j.abandon(u, j.state.Attempts)
 			}
 			return action, nil
 		default:
 			// The caller's answer doesn't wait for an agent that may be gone.
-			go j.abandon(u, j.attempts)
+			go j.abandon(u, j.state.Attempts)
 			return action, j.problem(action)
 		}
 	}
 }
 
+// release gives the upstream back and says how the attempt failed, if it did.
+func (j *job) release(failed bool) {
+	reason := problem.Reason("")
+	if failed {
+		reason = j.reason()
+	}
+	j.fleet.Release(j.request.ID, reason)
+}
+
 // listen runs a step that reads an answer, until it is silent for too long.
 func (j *job) listen(ctx context.Context, step func(context.Context) Result) Result {
 	ctx, cancel := context.WithCancel(ctx)
@@ -183,7 +210,7 @@
 func (j *job) ask(u fleet.Upstream) Result {
 	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
 	defer cancel()
-	return j.keep(j.exchange.Ask(ctx, u, j.attempts))
+	return j.keep(j.exchange.Ask(ctx, u, j.state.Attempts))
 }
 
 // keep keeps the refusal of a result.
--- a/pkg/filter/attempt/gone_test.go
+++ b/pkg/filter/attempt/gone_test.go
@@ -24,7 +24,9 @@
 	failed []bool
 }
 
-func (r *releases) Release(_ string, failed bool) { r.failed = append(r.failed, failed) }
+func (r *releases) Release(_ string, failure problem.Reason) {
+	r.failed = append(r.failed, failure != "")
+}
 
 // A caller who goes away is cancelled at the agent at once, and is no failure of
 // the upstream.
--- a/pkg/filter/attempt/restart_test.go
+++ b/pkg/filter/attempt/restart_test.go
@@ -39,7 +39,7 @@
 	return u, nil
 }
 func (a *agentsInTurn) Started(string)                       {}
-func (a *agentsInTurn) Release(string, bool)                 {}
+func (a *agentsInTurn) Release(string, problem.Reason)       {}
 func (a *agentsInTurn) Report(api.Report)                    {}
 func (a *agentsInTurn) Attain(_, _ string, _ int, _ float64) {}
 
@@ -50,10 +50,10 @@
 }
 
 func (r *heldReply) Head(int, http.Header) error { return nil }
-func (r *heldReply) Data(part []byte) error { r.body += string(part); return nil }
-func (r *heldReply) End() error             { return nil }
-func (r *heldReply) Relayed() bool          { return r.relays && r.body != "" }
-func (r *heldReply) Restart()               { r.body = "" }
+func (r *heldReply) Data(part []byte) error      { r.body += string(part); return nil }
+func (r *heldReply) End() error                  { return nil }
+func (r *heldReply) Relayed() bool               { return r.relays && r.body != "" }
+func (r *heldReply) Restart()                    { r.body = "" }
 
 // newAgent answers with the parts, and then ends the answer or breaks it off
 // and is gone.
--- a/pkg/filter/authenticate/authenticate.go
+++ b/pkg/filter/authenticate/authenticate.go
@@ -6,11 +6,20 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
-// New returns the filter.
+// anonymous stands for the callers of routes that need no key.
+var anonymous = &table.Organisation{Weight: 1}
+
+// New returns the filter. Calls of a route that needs no key have no
+// organisation's share or priority, whatever they carry.
 func New(next pipe.Handler) pipe.Handler {
 	return pipe.HandlerFunc(func(ctx context.Context, r *pipe.Request) error {
+		if r.Route != nil && r.Route.Anonymous {
+			r.Organisation = anonymous
+			return next.Serve(ctx, r)
+		}
 		if r.Token == "" {
 			return problem.New(problem.ReasonUnauthenticated, "no token was sent")
 		}
--- a/pkg/filter/deadline/deadline.go
+++ b/pkg/filter/deadline/deadline.go
@@ -28,6 +28,9 @@
 		if timeout < 0 || timeout > cfg.Max {
 			return problem.New(problem.ReasonBadDeadline, fmt.Sprintf("allowed: 1 to %d", cfg.Max.Milliseconds()))
 		}
+		if r.Route != nil && r.Route.Timeout > 0 {
+			timeout = min(timeout, r.Route.Timeout)
+		}
 		r.Deadline = r.Received.Add(timeout)
 		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
--- a/pkg/filter/queue/queue.go
+++ b/pkg/filter/queue/queue.go
@@ -7,6 +7,7 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/scheduler"
 )
 
@@ -14,7 +15,9 @@
 type Source interface {
 	Acquire(ctx context.Context, r scheduler.Request) (fleet.Upstream, error)
 	Started(requestID string)
-	Release(requestID string, failed bool)
+	// Release gives an upstream back. failure is why the attempt failed, empty
+	// when it did not.
+	Release(requestID string, failure problem.Reason)
 }
 
 // Acquire waits for an upstream for a request.
@@ -28,6 +31,7 @@
 		Cost:         r.Cost,
 		Deadline:     r.Deadline,
 		Prefix:       r.Prefix,
+		Tried:        r.Tried,
 	})
 }
 
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -40,7 +41,10 @@
 func New(next pipe.Handler) pipe.Handler {
 	return pipe.HandlerFunc(func(ctx context.Context, r *pipe.Request) error {
 		resolve := plain
-		if r.Path == PathChat {
+		switch {
+		case r.Index.Routed():
+			resolve = byHost
+		case r.Path == PathChat:
 			resolve = chat
 		}
 		if refusal := resolve(r); refusal != nil {
@@ -144,6 +148,26 @@
 	return nil
 }
 
+// byHost resolves a call by its host and path, which the upstream gets unchanged.
+func byHost(r *pipe.Request) *problem.Problem {
+	route := r.Index.Route(r.Host, r.Path)
+	if route == nil {
+		return problem.New(problem.ReasonNotFound, "no route for "+strconv.Quote(r.Host+r.Path))
+	}
+	r.Service = r.Index.Service(route.Backend(rand.Float64()))
+	if r.Service == nil {
+		return problem.New(problem.ReasonNoUpstream, "route "+route.Name+" has no service")
+	}
+	r.Route = route
+	r.Idempotent = route.Idempotent
+	r.Streamed = route.Streamed
+	r.MaxAttempts = route.MaxAttempts
+	if r.Cost == 0 {
+		r.Cost = plainCost
+	}
+	return nil
+}
+
 // hasDotSegment reports whether an upstream may take a path for another one, so
 // that work which is not idempotent would pass for idempotent.
 func hasDotSegment(path string) bool {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -167,10 +167,10 @@
 }
 
 // Release gives back the upstream of a request after an attempt.
-func (f *Fleet) Release(requestID string, failed bool) {
+func (f *Fleet) Release(requestID string, failure problem.Reason) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.deliver(f.scheduler.Ended(requestID, failed, time.Now()))
+	f.deliver(f.scheduler.Ended(requestID, failure != "", time.Now()))
 }
 
 // Report takes a report that came with an answer.
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -20,10 +20,25 @@
 	Token string
 	// Index is the table in force when the request arrived.
 	Index *table.Index
+	// IndexAge is how old the proof was that the table's keys are valid. It is 0
+	// where keys are not taken away.
+	IndexAge time.Duration
 	// Organisation is set by the authenticate filter.
 	Organisation *table.Organisation
 	// Service is set by the route filter.
 	Service *table.Service
+	// Route is set by the route filter when calls are routed by host and path.
+	Route *table.Route
+	// Host is the name that the caller called, Target the target of its call as
+	// it was sent.
+	Host   string
+	Target string
+	// ResumeAfter is the number of the last event that the caller has of an
+	// earlier answer, empty when it has none.
+	ResumeAfter string
+	// Header is the header that is passed on to the upstream, nil when the
+	// upstream gets none of the caller's.
+	Header http.Header
 	// Method, Path, Query, ContentType and Body are those of the caller's call
 	// until the route filter makes them those of the upstream's.
 	Method      string
@@ -38,6 +53,10 @@
 	// Streamed is true when a model's answer is to be written as it comes. It is
 	// set by the route filter.
 	Streamed bool
+	// MaxAttempts is how many upstreams the request may be sent to, 0 for any
+	// number. Tried are those that it was sent to.
+	MaxAttempts int
+	Tried       []string
 	// Received is when the request arrived.
 	Received time.Time
 	// Timeout is the caller's time limit, 0 when none was given.
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -36,6 +36,8 @@
 	RequestID string `json:"request_id,omitempty"`
 	// RetryAfterSeconds is 0 when a retry can't help.
 	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+	// RetryAfter is the same, not rounded to whole seconds.
+	RetryAfter time.Duration `json:"-"`
 }
 
 // New returns the problem of a reason. The detail may be empty.
@@ -53,6 +55,7 @@
 		Ran:               e.ran,
 		Remedy:            e.remedy,
 		RetryAfterSeconds: e.retryAfterSeconds,
+		RetryAfter:        time.Duration(e.retryAfterSeconds) * time.Second,
 	}
 }
 
@@ -64,9 +67,9 @@
 	return fmt.Sprintf("%s (%s): %s", p.Title, p.Detail, p.Remedy)
 }
 
-// WithRetryAfter sets the time after which a retry makes sense, rounded up to
-// whole seconds.
+// WithRetryAfter sets the time after which a retry makes sense.
 func (p *Problem) WithRetryAfter(d time.Duration) *Problem {
+	p.RetryAfter = d
 	p.RetryAfterSeconds = int((d + time.Second - 1) / time.Second)
 	return p
 }
--- a/pkg/problem/reason.go
+++ b/pkg/problem/reason.go
@@ -44,6 +44,9 @@
 	ReasonInvalidTable         Reason = "invalid_table"
 	ReasonOperatorUnauthorised Reason = "operator_unauthorised"
 	ReasonNotReady             Reason = "not_ready"
+	ReasonStaleKeys            Reason = "stale_keys"
+	ReasonGroupStopped         Reason = "group_stopped"
+	ReasonUpstreamError        Reason = "upstream_error"
 	ReasonStopping             Reason = "stopping"
 	ReasonInternal             Reason = "internal"
 )
@@ -97,6 +100,9 @@
 	ReasonInvalidTable:         {http.StatusUnprocessableEntity, "The table has bad rows", RanNo, "Correct the listed cells and send the whole table again.", 0},
 	ReasonOperatorUnauthorised: {http.StatusUnauthorized, "The operator token is missing or wrong", RanNo, "Send the operator token in the Authorization header.", 0},
 	ReasonNotReady:             {http.StatusServiceUnavailable, "The entry has no table yet", RanNo, "Send the request again after the stated time.", 1},
+	ReasonStaleKeys:            {http.StatusServiceUnavailable, "The entry can't tell whether the key is still valid", RanNo, "Send the request again; another entry may reach the platform's store.", 1},
+	ReasonGroupStopped:         {http.StatusServiceUnavailable, "The upstream's rank group has stopped", RanNo, "Send the request again after the stated time.", 1},
+	ReasonUpstreamError:        {http.StatusBadGateway, "The upstream answered with an error", RanUnknown, "Send the request again if it is idempotent.", 1},
 	ReasonStopping:             {http.StatusServiceUnavailable, "The entry is stopping", RanNo, "Send the request again; another entry takes it.", 1},
 	ReasonInternal:             {http.StatusInternalServerError, "An internal error occurred", RanUnknown, "Report the request ID to an operator.", 0},
 }
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -1,5 +1,7 @@
 package retry
 
+import "time"
+
 // Budget bounds retries to a fraction of the requests, so that failing
 // upstreams don't cause a storm of attempts.
 type Budget struct {
@@ -16,10 +18,10 @@
 }
 
 // Earn adds the retries that one request earns.
-func (b *Budget) Earn() { b.tokens = min(b.burst, b.tokens+b.ratio) }
+func (b *Budget) Earn(time.Time) { b.tokens = min(b.burst, b.tokens+b.ratio) }
 
 // Spend takes one retry. It reports false when none is left.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend(time.Time) bool {
 	if b.tokens < 1 {
 		return false
 	}
--- a/pkg/retry/names.go
+++ b/pkg/retry/names.go
@@ -15,6 +15,8 @@
 		return "it is unknown whether the attempt ran"
 	case Differs:
 		return "another run gave another answer"
+	case Errored:
+		return "the upstream answered with an error"
 	case Complete:
 		return "the whole answer was relayed"
 	default:
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -34,6 +34,9 @@
 	// Differs means that another run of the request gave another answer than
 	// the part that was relayed.
 	Differs
+	// Errored means that the upstream answered with an error of its own, which is
+	// held and can still be given to the caller.
+	Errored
 )
 
 // Action is what the entry does next.
@@ -69,13 +72,23 @@
 	MaybeRan bool
 	// Resumes counts the resumes in a row that relayed nothing new.
 	Resumes int
+	// Attempts counts the attempts so far. MaxAttempts is how many are allowed, 0
+	// for any number.
+	Attempts    int
+	MaxAttempts int
+}
+
+// Spender is a budget of retries.
+type Spender interface {
+	// Spend takes one retry. It reports false when none is left.
+	Spend(now time.Time) bool
 }
 
 // maxResumes is the largest number of resumes in a row without progress.
 const maxResumes = 3
 
 // Next returns the action that follows an event.
-func (r *Request) Next(event EventKind, budget *Budget, now time.Time) Action {
+func (r *Request) Next(event EventKind, budget Spender, now time.Time) Action {
 	switch event {
 	case Complete:
 		return Done
@@ -87,6 +100,8 @@
 		return r.running(budget, now)
 	case NotRun:
 		return r.again(budget, now)
+	case Errored:
+		return r.errored(budget, now)
 	default:
 		return r.unknown(budget, now)
 	}
@@ -100,7 +115,7 @@
 	return Ask
 }
 
-func (r *Request) running(budget *Budget, now time.Time) Action {
+func (r *Request) running(budget Spender, now time.Time) Action {
 	r.Resumes++
 	if r.Resumes > maxResumes || !now.Before(r.Deadline) {
 		return r.unknown(budget, now)
@@ -108,7 +123,7 @@
 	return Resume
 }
 
-func (r *Request) unknown(budget *Budget, now time.Time) Action {
+func (r *Request) unknown(budget Spender, now time.Time) Action {
 	r.MaybeRan = true
 	if !r.Idempotent {
 		return r.refusal()
@@ -116,14 +131,31 @@
 	return r.again(budget, now)
 }
 
-func (r *Request) again(budget *Budget, now time.Time) Action {
-	if r.Relayed && !r.Idempotent || !now.Before(r.Deadline) || !budget.Spend() {
+func (r *Request) again(budget Spender, now time.Time) Action {
+	if !r.mayRepeat(now) || !budget.Spend(now) {
 		return r.refusal()
 	}
 	r.Resumes = 0
 	return Again
 }
 
+// mayRepeat reports whether another attempt is allowed at all.
+func (r *Request) mayRepeat(now time.Time) bool {
+	if r.Relayed && !r.Idempotent || !now.Before(r.Deadline) {
+		return false
+	}
+	return r.MaxAttempts == 0 || r.Attempts < r.MaxAttempts
+}
+
+// errored tries elsewhere, and otherwise lets the caller have the error.
+func (r *Request) errored(budget Spender, now time.Time) Action {
+	if !r.Idempotent || !r.mayRepeat(now) || !budget.Spend(now) {
+		return Done
+	}
+	r.MaybeRan = true
+	return Again
+}
+
 // Progress records that a new part of the answer was taken. relayed says
 // whether a part has reached the caller by now, or is still held back.
 func (r *Request) Progress(relayed bool) {
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -57,6 +57,8 @@
 	Deadline     time.Time
 	// Prefix is the hash of the prompt's leading blocks, 0 when unknown.
 	Prefix uint64
+	// Tried are the upstreams that the request was sent to before.
+	Tried []string
 }
 
 // Scheduler is the state of one entry.
--- a/pkg/table/index.go
+++ b/pkg/table/index.go
@@ -12,6 +12,7 @@
 	table    *Table
 	byToken  map[string]*Organisation
 	services map[string]*Service
+	routes   routes
 	marks    marks.Set
 }
 
@@ -21,10 +22,21 @@
 		table:    t,
 		byToken:  make(map[string]*Organisation, len(t.Organisations)),
 		services: make(map[string]*Service, len(t.Services)),
+		routes:   newRoutes(t.Routes),
 		marks:    marks.NewSet(t.Marks()),
 	}
+	byName := make(map[string]*Organisation, len(t.Organisations))
 	for i := range t.Organisations {
-		ix.byToken[t.Organisations[i].TokenHash] = &t.Organisations[i]
+		o := &t.Organisations[i]
+		byName[o.Name] = o
+		if o.TokenHash != "" {
+			ix.byToken[o.TokenHash] = o
+		}
+	}
+	for _, k := range t.Keys {
+		if o := byName[k.Organisation]; o != nil {
+			ix.byToken[k.Hash] = o
+		}
 	}
 	for i := range t.Services {
 		ix.services[t.Services[i].Name] = &t.Services[i]
@@ -58,6 +70,12 @@
 // Service returns a service by name, or nil.
 func (ix *Index) Service(name string) *Service { return ix.services[name] }
 
+// Routed reports whether calls are routed by host and path.
+func (ix *Index) Routed() bool { return len(ix.routes) > 0 }
+
+// Route returns the route of a call, or nil.
+func (ix *Index) Route(host, path string) *Route { return ix.routes.find(host, path) }
+
 // Out reports whether an upstream or its failure domain is out of service.
 func (ix *Index) Out(upstream, domain string) bool {
 	return ix.marks.FailureDomainOut(domain) || ix.marks.UpstreamOut(upstream)
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -25,6 +25,13 @@
 	Priority bool `json:"priority"`
 }
 
+// Key is one of the further keys of an organisation.
+type Key struct {
+	Organisation string `json:"organisation"`
+	// Hash is the SHA-256 of the key in hexadecimal.
+	Hash string `json:"hash"`
+}
+
 // ServiceKind tells model engines from plain services.
 type ServiceKind string
 
@@ -43,6 +50,13 @@
 	// IdempotentPaths lists the path prefixes below the service whose calls may
 	// be repeated whatever their method. GET and HEAD always may.
 	IdempotentPaths []string `json:"idempotent_paths,omitempty" validate:"dive,startswith=/"`
+	// MaxConnections is how many connections one upstream takes, 0 if unknown.
+	MaxConnections int `json:"max_connections,omitempty" validate:"-"`
+	// ColdPerSecond is how many requests a second a cold upstream bears, 0 if it
+	// is never cold.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty" validate:"-"`
+	// Engine is set when the platform describes the service's engines.
+	Engine *Engine `json:"engine,omitempty" validate:"-"`
 }
 
 // FailureDomain is a part of the fleet that fails and is taken out together.
@@ -66,6 +80,11 @@
 	Services       []Service       `json:"services" validate:"dive"`
 	FailureDomains []FailureDomain `json:"failure_domains" validate:"dive"`
 	Upstreams      []UpstreamMark  `json:"upstreams" validate:"dive"`
+	// Keys, Routes and Limits come from the platform's configuration. Without
+	// routes, calls are routed by model and by service name.
+	Keys   []Key   `json:"keys,omitempty" validate:"-"`
+	Routes []Route `json:"routes,omitempty" validate:"-"`
+	Limits *Limits `json:"limits,omitempty" validate:"-"`
 }
 
 // HashToken returns the form in which a bearer token is kept.
