Switch expert maps on engines that hold, arm and go

Ruled out: the switch by commit (mapswitch): its engines take the decision one by one, and it stands still while one agent is silent; the platform's engines can be read back and ordered by anyone, so the coordinator needs no promise.

--- a/pkg/expertmap/expertmap.go
+++ b/pkg/expertmap/expertmap.go
@@ -142,3 +142,17 @@
 	}
 	return added
 }
+
+// InTurn returns the map that deals the experts of each layer one by one to the
+// ranks in turn, without replicas.
+func InTurn(size Size) *Map {
+	m := &Map{Layers: make([]Layer, size.Layers)}
+	for i := range m.Layers {
+		m.Layers[i] = make(Layer, size.Ranks)
+		for e := range size.Experts {
+			r := e % size.Ranks
+			m.Layers[i][r] = append(m.Layers[i][r], e)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -0,0 +1,274 @@
+package holdswitch
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+)
+
+// Config is the settings of a coordinator.
+type Config struct {
+	// Rank is the coordinator's own rank, Ranks the number of ranks.
+	Rank  int
+	Ranks int
+	// Epoch is the forming of the group that the coordinator serves.
+	Epoch uint64
+	// Margin is how many passes ahead a switch is placed.
+	Margin uint64
+	// PrepareTimeout bounds the copying of experts, ArmTimeout the arming while a
+	// pass is held.
+	PrepareTimeout time.Duration
+	ArmTimeout     time.Duration
+	// ReadInterval is the time between two reads of a rank that copies.
+	ReadInterval time.Duration
+	// NewVersion returns a version above one, which no coordinator has used.
+	NewVersion func(above expertmap.Version) expertmap.Version
+}
+
+// Phase is what a coordinator is doing.
+type Phase string
+
+// Phases.
+const (
+	PhaseIdle    Phase = "idle"
+	PhasePrepare Phase = "prepare"
+	PhaseHold    Phase = "hold"
+	PhaseArm     Phase = "arm"
+	PhaseGo      Phase = "go"
+	// PhaseSettle waits for the pass of the switch to begin.
+	PhaseSettle Phase = "settle"
+	// PhaseSecure holds a pass of a round that is to be undone.
+	PhaseSecure Phase = "secure"
+	PhaseUndo   Phase = "undo"
+	PhaseFree   Phase = "free"
+)
+
+// Event is something worth a log line.
+type Event struct {
+	// What happened, to which version at which pass.
+	What    string
+	Version expertmap.Version
+	Step    uint64
+	// Rank is the rank that it is about, -1 for the whole group.
+	Rank int
+}
+
+// rankView is what a coordinator knows of one rank.
+type rankView struct {
+	state State
+	known bool
+	// stale is true when the state must be read before the next decision.
+	stale bool
+	// busy is true while an order is on its way.
+	busy   bool
+	readAt time.Time
+	// ordered is true once the round's prepare was accepted, undone once a prepare
+	// that changes nothing has made all orders before it void. sequence is what
+	// the rank's number was then.
+	ordered  bool
+	undone   bool
+	sequence uint64
+	// freed is true once the rank was told to let the undone pass go.
+	freed bool
+}
+
+// Coordinator drives the switches of one group in one epoch.
+type Coordinator struct {
+	cfg   Config
+	ranks []rankView
+
+	phase    Phase
+	deadline time.Time
+	target   *expertmap.Map
+	version  expertmap.Version
+	step     uint64
+	margin   uint64
+	// current is the map in force by content, nil until it is known.
+	current  *expertmap.Map
+	highest  expertmap.Version
+	switched int
+	undone   int
+	lost     bool
+	events   []Event
+}
+
+// New returns a coordinator that knows nothing of its ranks.
+func New(cfg Config) *Coordinator {
+	return &Coordinator{cfg: cfg, ranks: make([]rankView, cfg.Ranks), phase: PhaseIdle, margin: cfg.Margin}
+}
+
+// Phase returns what the coordinator is doing.
+func (c *Coordinator) Phase() Phase { return c.phase }
+
+// Switched counts the rounds that were finished, Undone those that were not.
+func (c *Coordinator) Switched() int { return c.switched }
+
+// Undone counts the rounds that were undone.
+func (c *Coordinator) Undone() int { return c.undone }
+
+// Lost reports whether the group has left the coordinator's epoch.
+func (c *Coordinator) Lost() bool { return c.lost }
+
+// Events returns and clears what happened since the last call.
+func (c *Coordinator) Events() []Event {
+	events := c.events
+	c.events = nil
+	return events
+}
+
+func (c *Coordinator) note(what string, rank int) {
+	c.events = append(c.events, Event{What: what, Version: c.version, Step: c.step, Rank: rank})
+}
+
+// Uses returns the version that all ranks use, and whether they are known and
+// agree.
+func (c *Coordinator) Uses() (expertmap.Version, bool) {
+	for r := range c.ranks {
+		if !c.ranks[r].known || c.ranks[r].state.Map != c.ranks[0].state.Map {
+			return 0, false
+		}
+	}
+	return c.ranks[0].state.Map, true
+}
+
+// SetCurrent takes the content of the map in force.
+func (c *Coordinator) SetCurrent(m *expertmap.Map) { c.current = m }
+
+// Current returns the content of the map in force, nil while it is unknown.
+func (c *Coordinator) Current() *expertmap.Map {
+	version, ok := c.Uses()
+	if !ok || c.current == nil || c.current.Version != version {
+		return nil
+	}
+	return c.current
+}
+
+// Observe takes a rank's state as it was read.
+func (c *Coordinator) Observe(rank int, s State, now time.Time) {
+	v := &c.ranks[rank]
+	if s.Epoch != c.cfg.Epoch || v.known && s.Incarnation != v.state.Incarnation {
+		c.lost = true
+		return
+	}
+	v.state, v.known, v.stale, v.readAt = s, true, false, now
+	c.highest = max(c.highest, s.Map, s.Prepared)
+	if s.Armed != nil {
+		c.highest = max(c.highest, s.Armed.Version)
+	}
+}
+
+// Propose begins a round that replaces the map in force. It reports false unless
+// the coordinator is idle and knows every rank.
+func (c *Coordinator) Propose(m *expertmap.Map, now time.Time) bool {
+	if c.phase != PhaseIdle || c.lost || !c.clean() {
+		return false
+	}
+	c.version = c.cfg.NewVersion(c.highest)
+	c.highest = c.version
+	c.target = m.WithVersion(c.version)
+	for r := range c.ranks {
+		c.ranks[r].ordered, c.ranks[r].undone = false, false
+	}
+	c.enter(PhasePrepare, now.Add(c.cfg.PrepareTimeout))
+	return true
+}
+
+// clean reports whether every rank is known and neither armed nor held.
+func (c *Coordinator) clean() bool {
+	for r := range c.ranks {
+		v := &c.ranks[r]
+		if !v.known || v.stale || v.state.Armed != nil || v.state.Held != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Coordinator) enter(p Phase, deadline time.Time) {
+	c.phase, c.deadline = p, deadline
+}
+
+// Result takes the answer to a command.
+func (c *Coordinator) Result(cmd Command, res Result, now time.Time) {
+	v := &c.ranks[cmd.Rank]
+	v.busy = false
+	if res.State == nil {
+		v.stale = true
+	} else {
+		c.Observe(cmd.Rank, *res.State, now)
+	}
+	if c.lost {
+		return
+	}
+	switch cmd.Order.Kind {
+	case OrderPrepare:
+		c.prepared(v, &cmd.Order, res)
+	case OrderHold:
+		c.held(res)
+	case OrderArm:
+		if res.Verdict == Refused && c.phase == PhaseArm && cmd.Order.Version == c.version {
+			c.undo("arm refused", cmd.Rank, now)
+		}
+	case OrderGo:
+		v.freed = v.freed || c.phase == PhaseFree && res.Verdict != Unanswered
+	}
+}
+
+func (c *Coordinator) prepared(v *rankView, o *Order, res Result) {
+	switch {
+	case c.phase == PhaseUndo && res.Verdict == Done && res.State != nil:
+		v.undone, v.sequence = true, res.State.Sequence
+	case c.phase != PhasePrepare || o.Version != c.version:
+	case res.Verdict == Done && res.State != nil:
+		v.ordered, v.sequence = true, res.State.Sequence
+	case res.Verdict == Refused:
+		c.note("prepare refused", -1)
+		c.forget()
+	}
+}
+
+func (c *Coordinator) held(res Result) {
+	if res.Verdict != Refused {
+		return
+	}
+	switch c.phase {
+	case PhaseHold:
+		// The pass has begun; the next try is placed further away.
+		c.margin = min(c.margin+1, maxMargin)
+		c.place()
+	case PhaseSecure:
+		// The pass has begun, so nothing is armed for it any more.
+		c.forget()
+	}
+}
+
+// maxMargin is the furthest that a switch is placed ahead, in passes.
+const maxMargin = 12
+
+// place chooses the pass of the switch.
+func (c *Coordinator) place() {
+	step := uint64(0)
+	for r := range c.ranks {
+		step = max(step, c.ranks[r].state.Step)
+	}
+	c.step = step + c.margin
+}
+
+// undo gives a round up. While ranks may be armed, its pass is held at the
+// coordinator's own rank.
+func (c *Coordinator) undo(why string, rank int, now time.Time) {
+	c.note("undo: "+why, rank)
+	c.undone++
+	for r := range c.ranks {
+		c.ranks[r].undone, c.ranks[r].freed = false, false
+	}
+	c.enter(PhaseSecure, now)
+}
+
+// forget makes every rank be read before the next round.
+func (c *Coordinator) forget() {
+	c.phase = PhaseIdle
+	for r := range c.ranks {
+		c.ranks[r].stale = true
+	}
+}
--- /dev/null
+++ b/pkg/expertmap/holdswitch/types.go
@@ -0,0 +1,87 @@
+package holdswitch
+
+import (
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+)
+
+// Armed is the switch that a rank has been told to make.
+type Armed struct {
+	Version expertmap.Version
+	Step    uint64
+}
+
+// State is what a rank says of itself.
+type State struct {
+	// Incarnation is fresh at each start of the rank, Epoch at each forming of its
+	// group.
+	Incarnation string
+	Epoch       uint64
+	// Open is false while the group runs nothing.
+	Open bool
+	// Sequence is the number of prepares that the rank has begun.
+	Sequence uint64
+	// Step is the last pass that was begun.
+	Step uint64
+	// Map is the version in force, Prepared the version that is copied whole, 0
+	// for none.
+	Map      expertmap.Version
+	Prepared expertmap.Version
+	// Armed is nil unless the rank will switch.
+	Armed *Armed
+	// Held is the pass that the rank keeps from beginning, nil for none.
+	Held *uint64
+}
+
+// OrderKind tells orders apart.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	// OrderRead reads the state and changes nothing.
+	OrderRead    OrderKind = "read"
+	OrderPrepare OrderKind = "prepare"
+	OrderHold    OrderKind = "hold"
+	OrderArm     OrderKind = "arm"
+	OrderDisarm  OrderKind = "disarm"
+	OrderGo      OrderKind = "go"
+)
+
+// Order is an order to a rank.
+type Order struct {
+	Kind    OrderKind         `json:"kind"`
+	Version expertmap.Version `json:"version,omitempty"`
+	Step    uint64            `json:"step,omitempty"`
+	// Map is the map to prepare.
+	Map *expertmap.Map `json:"map,omitempty"`
+	// Epoch and Sequence are those of the rank for which the order is meant.
+	Epoch    uint64 `json:"epoch,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Fence is the fencing token, for engines that check it.
+	Fence uint64 `json:"fence,omitempty"`
+}
+
+// Verdict is what became of an order.
+type Verdict string
+
+// Verdicts.
+const (
+	// Done means that the rank has obeyed, or had done so before.
+	Done Verdict = "done"
+	// Refused means that the order did not fit the rank's state.
+	Refused Verdict = "refused"
+	// Unanswered means that the order may be carried out at any later time.
+	Unanswered Verdict = "unanswered"
+)
+
+// Result is the answer to an order, with the rank's state after it.
+type Result struct {
+	Verdict Verdict
+	// State is nil when the rank could not be read.
+	State *State
+}
+
+// Command is an order to one rank.
+type Command struct {
+	Rank  int
+	Order Order
+}
--- /dev/null
+++ b/pkg/expertmap/plan/spread.go
@@ -0,0 +1,184 @@
+package plan
+
+import (
+	"math"
+	"slices"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+)
+
+// Bounds limit one change of a map on engines that bring few new experts at a
+// time.
+type Bounds struct {
+	// MaxNew is how many experts of one layer a rank may copy.
+	MaxNew int
+	// MaxCopies is how many experts a rank may copy over all layers. Ranks copy at
+	// the same time, so this bounds how long a change takes.
+	MaxCopies int
+	// Target is the skew below which a layer is left alone.
+	Target float64
+	// MinGain is by how much a copy must lower the skew of its layer.
+	MinGain float64
+}
+
+// Spread returns a map that lowers the skew of each layer by copying the experts
+// with the most work to the ranks with the least. It returns nil when no copy is
+// worth it.
+//
+// Unlike Planner it weighs no horizon: it is meant for engines on which the
+// popular experts change within seconds, and which copy an expert in a fraction
+// of one.
+func Spread(current *expertmap.Map, shares [][]float64, speeds []float64, size expertmap.Size, b Bounds) (*expertmap.Map, int) {
+	out := &expertmap.Map{Layers: slices.Clone(current.Layers)}
+	copies := make([]int, size.Ranks)
+	total := 0
+	for _, l := range bySkew(current, shares, speeds, size) {
+		s := &spreader{layerState: newLayerState(current.Layers[l], shares[l], speeds, size.Slots), bounds: b, copies: copies, fresh: make([]int, size.Ranks), from: current.Layers[l]}
+		n := s.run()
+		if n > 0 {
+			out.Layers[l] = s.layer()
+			total += n
+		}
+	}
+	if total == 0 {
+		return nil, 0
+	}
+	return out, total
+}
+
+// bySkew returns the layers, the one with the most skew first.
+func bySkew(current *expertmap.Map, shares [][]float64, speeds []float64, size expertmap.Size) []int {
+	skew := make([]float64, len(shares))
+	order := make([]int, len(shares))
+	for l := range shares {
+		order[l] = l
+		skew[l] = newLayerState(current.Layers[l], shares[l], speeds, size.Slots).skew()
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case skew[a] > skew[b]:
+			return -1
+		case skew[a] < skew[b]:
+			return 1
+		}
+		return 0
+	})
+	return order
+}
+
+// Skew returns the mean over the layers of the slowest rank's time over that of a
+// perfect split.
+func Skew(m *expertmap.Map, shares [][]float64, speeds []float64, size expertmap.Size) float64 {
+	sum := 0.0
+	for l := range shares {
+		sum += newLayerState(m.Layers[l], shares[l], speeds, size.Slots).skew()
+	}
+	return sum / float64(len(shares))
+}
+
+// spreader changes one layer.
+type spreader struct {
+	*layerState
+	bounds Bounds
+	from   expertmap.Layer
+	// copies counts what each rank copies over all layers, fresh in this one.
+	copies []int
+	fresh  []int
+}
+
+// placement is one more replica of an expert, in the place of another one.
+type placement struct {
+	rank, expert, victim int
+	gain                 float64
+}
+
+// run makes placements until none is worth its copy, and returns how many there
+// were.
+func (s *spreader) run() int {
+	n := 0
+	for range maxMoves {
+		if s.skew() <= s.bounds.Target {
+			break
+		}
+		before := s.skew()
+		p, ok := s.bestPlacement()
+		if !ok {
+			break
+		}
+		s.place(p)
+		if s.skew() > before-s.bounds.MinGain && !s.helps(before) {
+			s.revert(p)
+			break
+		}
+		n++
+	}
+	return n
+}
+
+// helps reports whether a placement that did not lower the skew by itself opens
+// the way: several ranks can be equally slow.
+func (s *spreader) helps(before float64) bool { return s.skew() <= before }
+
+func (s *spreader) place(p placement) {
+	if p.victim != none {
+		s.drop(p.rank, p.victim)
+	}
+	s.add(p.rank, p.expert)
+	s.copies[p.rank]++
+	s.fresh[p.rank]++
+}
+
+func (s *spreader) revert(p placement) {
+	s.drop(p.rank, p.expert)
+	if p.victim != none {
+		s.add(p.rank, p.victim)
+	}
+	s.copies[p.rank]--
+	s.fresh[p.rank]--
+}
+
+// bestPlacement relieves the slowest rank of the expert whose further replica
+// lowers the penalty most.
+func (s *spreader) bestPlacement() (placement, bool) {
+	best := placement{}
+	slow := s.slowest(1)[0]
+	for _, e := range s.held[slow] {
+		for r := range s.held {
+			if r == slow || s.holds(r, e) || s.fresh[r] >= s.bounds.MaxNew || s.copies[r] >= s.bounds.MaxCopies {
+				continue
+			}
+			victim, ok := s.victim(r, e)
+			if !ok {
+				continue
+			}
+			gain := s.replaceGain(r, e, victim) / (1 + copyWeight*float64(s.copies[r]))
+			if gain > best.gain {
+				best = placement{rank: r, expert: e, victim: victim, gain: gain}
+			}
+		}
+	}
+	return best, best.gain > 0
+}
+
+// copyWeight makes a rank that copies already less attractive, so that copies
+// spread over the ranks.
+const copyWeight = 0.25
+
+// victim returns the expert that a rank gives up for another one: none while it
+// has a free slot, or else the replica whose work the other holders take over
+// most easily.
+func (s *spreader) victim(rank, expert int) (int, bool) {
+	if len(s.held[rank]) < s.slots {
+		return none, true
+	}
+	best, least := none, math.Inf(1)
+	for _, e := range s.held[rank] {
+		if e == expert || s.replicas(e) < 2 {
+			continue
+		}
+		if part := s.part(e, s.replicas(e)-1) - s.part(e, s.replicas(e)); part < least {
+			best, least = e, part
+		}
+	}
+	return best, best != none
+}
