--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -87,8 +87,8 @@
 	popularity  *popularity
 	last        map[int]*Counts
 	// batch is the picks that the ranks have told of since the last poll began.
-	batch [][]float64
-	told  int
+	batch       [][]float64
+	told        int
 	paces       []float64
 	held        map[int]*Held
 	nextPoll    time.Time
