Hold passes beside another agent, and undo a round without a host that froze

Change: each coordinator holds at a rank beside another agent, arms its own rank last and undoes it first, so that a rank that was never armed proves that the frozen one isn't either. Reports from other hosts count as old by their lag.

--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -11,6 +11,8 @@
 	// Rank is the coordinator's own rank, Ranks the number of ranks.
 	Rank  int
 	Ranks int
+	// Standbys is how many of the lowest ranks may coordinate.
+	Standbys int
 	// Epoch is the forming of the group that the coordinator serves.
 	Epoch uint64
 	// Margin is how many passes ahead a switch is placed.
@@ -21,6 +23,9 @@
 	ArmTimeout     time.Duration
 	// ReadInterval is the time between two reads of a rank that copies.
 	ReadInterval time.Duration
+	// AbsentAfter is how long a rank must stay without an answer to count as out
+	// of reach when a round of its coordinator is undone.
+	AbsentAfter time.Duration
 	// NewVersion returns a version above one, which no coordinator has used.
 	NewVersion func(above expertmap.Version) expertmap.Version
 }
@@ -33,8 +38,10 @@
 	PhaseIdle    Phase = "idle"
 	PhasePrepare Phase = "prepare"
 	PhaseHold    Phase = "hold"
-	PhaseArm     Phase = "arm"
-	PhaseGo      Phase = "go"
+	// PhaseArm arms all ranks but the coordinator's own, PhaseArmOwn that one.
+	PhaseArm    Phase = "arm"
+	PhaseArmOwn Phase = "arm own"
+	PhaseGo     Phase = "go"
 	// PhaseSettle waits for the pass of the switch to begin.
 	PhaseSettle Phase = "settle"
 	// PhaseSecure holds a pass of a round that is to be undone.
@@ -51,16 +58,25 @@
 	Step    uint64
 	// Rank is the rank that it is about, -1 for the whole group.
 	Rank int
+	// Prepare, Arm and Settle are how long a finished round copied experts, armed
+	// its ranks, and waited for its pass.
+	Prepare, Arm, Settle time.Duration
 }
 
+// wholeGroup stands for no rank in an event.
+const wholeGroup = -1
+
 // rankView is what a coordinator knows of one rank.
 type rankView struct {
 	state State
 	known bool
-	// stale is true when the state must be read before the next decision.
-	stale bool
-	// busy is true while an order is on its way.
+	// stale is true when the state must be read before the next decision, missed
+	// since when it could not be read.
+	stale  bool
+	missed time.Time
+	// busy is true while an order is on its way, ended when the latest one ended.
 	busy   bool
+	ended  time.Time
 	readAt time.Time
 	// ordered is true once the round's prepare was accepted, undone once a prepare
 	// that changes nothing has made all orders before it void. sequence is what
@@ -68,6 +84,9 @@
 	ordered  bool
 	undone   bool
 	sequence uint64
+	// wasArmed is true when the rank was seen armed since the round's pass was
+	// held to undo it.
+	wasArmed bool
 	// freed is true once the rank was told to let the undone pass go.
 	freed bool
 }
@@ -83,13 +102,20 @@
 	version  expertmap.Version
 	step     uint64
 	margin   uint64
+	// foreign is true while a round of another coordinator is undone.
+	foreign bool
 	// current is the map in force by content, nil until it is known.
-	current  *expertmap.Map
+	current *expertmap.Map
+	// spare is a map that the ranks within reach can prepare without copying.
+	spare    *expertmap.Map
 	highest  expertmap.Version
 	switched int
 	undone   int
 	lost     bool
-	events   []Event
+	// began, placed and released are when the round began, chose its pass and let
+	// it go.
+	began, placed, released time.Time
+	events                  []Event
 }
 
 // New returns a coordinator that knows nothing of its ranks.
@@ -100,7 +126,7 @@
 // Phase returns what the coordinator is doing.
 func (c *Coordinator) Phase() Phase { return c.phase }
 
-// Switched counts the rounds that were finished, Undone those that were not.
+// Switched counts the rounds that were finished.
 func (c *Coordinator) Switched() int { return c.switched }
 
 // Undone counts the rounds that were undone.
@@ -120,6 +146,18 @@
 	c.events = append(c.events, Event{What: what, Version: c.version, Step: c.step, Rank: rank})
 }
 
+// HoldRank returns the rank at which a coordinator holds passes. Each coordinator
+// has one of its own, beside another agent: a coordinator whose host freezes does
+// not take the hold out of reach.
+func (c *Coordinator) HoldRank() int { return c.holdRankOf(c.cfg.Rank) }
+
+func (c *Coordinator) holdRankOf(coordinator int) int {
+	if c.cfg.Ranks < 2*c.cfg.Standbys {
+		return coordinator
+	}
+	return coordinator + c.cfg.Standbys
+}
+
 // Uses returns the version that all ranks use, and whether they are known and
 // agree.
 func (c *Coordinator) Uses() (expertmap.Version, bool) {
@@ -134,6 +172,10 @@
 // SetCurrent takes the content of the map in force.
 func (c *Coordinator) SetCurrent(m *expertmap.Map) { c.current = m }
 
+// SetFiller takes a map that the ranks within reach can prepare without copying
+// much, for the undoing of a round while the map in force is not known whole.
+func (c *Coordinator) SetFiller(m *expertmap.Map) { c.spare = m }
+
 // Current returns the content of the map in force, nil while it is unknown.
 func (c *Coordinator) Current() *expertmap.Map {
 	version, ok := c.Uses()
@@ -150,9 +192,15 @@
 		c.lost = true
 		return
 	}
+	v.missed = time.Time{}
+	if v.known && now.Add(-s.Age).Before(v.ended) {
+		// The state is older than the latest order.
+		return
+	}
 	v.state, v.known, v.stale, v.readAt = s, true, false, now
 	c.highest = max(c.highest, s.Map, s.Prepared)
 	if s.Armed != nil {
+		v.wasArmed = true
 		c.highest = max(c.highest, s.Armed.Version)
 	}
 }
@@ -166,9 +214,11 @@
 	c.version = c.cfg.NewVersion(c.highest)
 	c.highest = c.version
 	c.target = m.WithVersion(c.version)
+	c.foreign = false
 	for r := range c.ranks {
 		c.ranks[r].ordered, c.ranks[r].undone = false, false
 	}
+	c.began = now
 	c.enter(PhasePrepare, now.Add(c.cfg.PrepareTimeout))
 	return true
 }
@@ -192,10 +242,19 @@
 func (c *Coordinator) Result(cmd Command, res Result, now time.Time) {
 	v := &c.ranks[cmd.Rank]
 	v.busy = false
-	if res.State == nil {
-		v.stale = true
-	} else {
+	if cmd.Order.Kind != OrderRead {
+		v.ended = now
+	}
+	switch {
+	case res.State != nil:
+		v.stale = v.stale || cmd.Order.Kind != OrderRead
 		c.Observe(cmd.Rank, *res.State, now)
+	case res.Verdict == Done && v.obey(&cmd.Order):
+	default:
+		v.stale = true
+		if v.missed.IsZero() && res.Verdict == Unanswered {
+			v.missed = now
+		}
 	}
 	if c.lost {
 		return
@@ -206,7 +265,7 @@
 	case OrderHold:
 		c.held(res)
 	case OrderArm:
-		if res.Verdict == Refused && c.phase == PhaseArm && cmd.Order.Version == c.version {
+		if res.Verdict == Refused && (c.phase == PhaseArm || c.phase == PhaseArmOwn) && cmd.Order.Version == c.version {
 			c.undo("arm refused", cmd.Rank, now)
 		}
 	case OrderGo:
@@ -214,15 +273,37 @@
 	}
 }
 
+// obey changes what is known of a rank by an order that it has obeyed. It reports
+// false when the rank has to be read to tell.
+func (v *rankView) obey(o *Order) bool {
+	switch o.Kind {
+	case OrderHold:
+		v.state.Held = &o.Step
+	case OrderGo:
+		if v.state.Held != nil && *v.state.Held == o.Step {
+			v.state.Held = nil
+		}
+	case OrderArm:
+		v.state.Armed = &Armed{Version: o.Version, Step: o.Step}
+	case OrderDisarm:
+		v.state.Armed = nil
+	default:
+		return false
+	}
+	return v.known && !v.stale
+}
+
 func (c *Coordinator) prepared(v *rankView, o *Order, res Result) {
 	switch {
 	case c.phase == PhaseUndo && res.Verdict == Done && res.State != nil:
 		v.undone, v.sequence = true, res.State.Sequence
+	case c.phase == PhaseUndo && res.Verdict == Refused:
+		v.wasArmed = true
 	case c.phase != PhasePrepare || o.Version != c.version:
 	case res.Verdict == Done && res.State != nil:
 		v.ordered, v.sequence = true, res.State.Sequence
 	case res.Verdict == Refused:
-		c.note("prepare refused", -1)
+		c.note("prepare refused", wholeGroup)
 		c.forget()
 	}
 }
@@ -255,12 +336,13 @@
 }
 
 // undo gives a round up. While ranks may be armed, its pass is held at the
-// coordinator's own rank.
+// coordinator's own hold.
 func (c *Coordinator) undo(why string, rank int, now time.Time) {
 	c.note("undo: "+why, rank)
 	c.undone++
 	for r := range c.ranks {
-		c.ranks[r].undone, c.ranks[r].freed = false, false
+		v := &c.ranks[r]
+		v.undone, v.freed, v.wasArmed = false, false, v.state.Armed != nil
 	}
 	c.enter(PhaseSecure, now)
 }
--- a/pkg/expertmap/holdswitch/step.go
+++ b/pkg/expertmap/holdswitch/step.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
 )
 
 // Step returns the orders that are due. Each rank has one at a time on its way.
@@ -41,14 +43,16 @@
 			c.afterHold(now)
 		case PhaseArm:
 			c.afterArm(now)
+		case PhaseArmOwn:
+			c.afterArmOwn(now)
 		case PhaseGo:
-			c.afterGo()
+			c.afterGo(now)
 		case PhaseSettle:
-			c.afterSettle()
+			c.afterSettle(now)
 		case PhaseSecure:
 			c.afterSecure(now)
 		case PhaseUndo:
-			c.afterUndo()
+			c.afterUndo(now)
 		case PhaseFree:
 			c.afterFree()
 		}
@@ -58,14 +62,24 @@
 	}
 }
 
+// absent reports whether a rank has been out of reach for long.
+func (c *Coordinator) absent(rank int, now time.Time) bool {
+	v := &c.ranks[rank]
+	return !v.missed.IsZero() && now.Sub(v.missed) >= c.cfg.AbsentAfter
+}
+
 // takeOver undoes what another coordinator has left. It never finishes it: the
-// other one may be undoing it at the same time.
+// other one may be undoing it at the same time. Ranks of other coordinators may
+// be out of reach, as one that froze has its own rank on the same host.
 func (c *Coordinator) takeOver(now time.Time) {
 	left, step := false, uint64(math.MaxUint64)
 	for r := range c.ranks {
 		v := &c.ranks[r]
 		if !v.known || v.stale {
-			return
+			if r >= c.cfg.Standbys || r == c.cfg.Rank || !c.absent(r, now) {
+				return
+			}
+			continue
 		}
 		if v.state.Held != nil {
 			left, step = true, min(step, *v.state.Held)
@@ -77,8 +91,8 @@
 	if !left {
 		return
 	}
-	c.step, c.version = step, 0
-	c.undo("found an unfinished round", -1, now)
+	c.step, c.version, c.foreign = step, 0, true
+	c.undo("found an unfinished round", wholeGroup, now)
 }
 
 func (c *Coordinator) afterPrepare(now time.Time) {
@@ -87,34 +101,40 @@
 		if !v.ordered || v.stale || v.state.Prepared != c.version {
 			if now.After(c.deadline) {
 				c.note("prepare timed out", r)
-				c.phase = PhaseIdle
+				c.forget()
 			}
 			return
 		}
 		if v.state.Sequence != v.sequence || v.state.Armed != nil {
 			c.note("another coordinator gives orders", r)
-			c.phase = PhaseIdle
+			c.forget()
 			return
 		}
 	}
 	c.margin = c.cfg.Margin
 	c.place()
+	c.placed = now
 	c.enter(PhaseHold, now.Add(c.cfg.ArmTimeout))
 }
 
+// holds reports whether the round's pass is known to be held here.
+func (c *Coordinator) holds() bool {
+	v := &c.ranks[c.HoldRank()]
+	return v.known && !v.stale && v.state.Held != nil && *v.state.Held == c.step
+}
+
 func (c *Coordinator) afterHold(now time.Time) {
-	v := &c.ranks[c.cfg.Rank]
 	switch {
-	case !v.stale && v.state.Held != nil && *v.state.Held == c.step:
+	case c.holds():
 		c.enter(PhaseArm, now.Add(c.cfg.ArmTimeout))
 	case now.After(c.deadline):
-		c.undo("hold timed out", c.cfg.Rank, now)
+		c.undo("hold timed out", c.HoldRank(), now)
 	}
 }
 
 func (c *Coordinator) afterArm(now time.Time) {
 	for r := range c.ranks {
-		if c.armed(r) {
+		if r == c.cfg.Rank || c.armed(r) {
 			continue
 		}
 		if now.After(c.deadline) {
@@ -122,7 +142,18 @@
 		}
 		return
 	}
-	c.enter(PhaseGo, time.Time{})
+	c.phase = PhaseArmOwn
+}
+
+// afterArmOwn lets the pass go. The coordinator's own rank is armed last: while
+// any other rank has not been armed, this one has not been either.
+func (c *Coordinator) afterArmOwn(now time.Time) {
+	switch {
+	case c.armed(c.cfg.Rank):
+		c.phase = PhaseGo
+	case now.After(c.deadline):
+		c.undo("arm timed out", c.cfg.Rank, now)
+	}
 }
 
 // armed reports whether a rank is known to make the round's switch.
@@ -132,44 +163,76 @@
 }
 
 // afterGo waits for the pass once it is no longer held.
-func (c *Coordinator) afterGo() {
-	v := &c.ranks[c.cfg.Rank]
+func (c *Coordinator) afterGo(now time.Time) {
+	v := &c.ranks[c.HoldRank()]
 	if v.stale || v.state.Held != nil && *v.state.Held == c.step {
 		return
 	}
+	c.released = now
 	c.phase = PhaseSettle
 }
 
 // afterSettle ends a round once its pass has begun. An idle group makes none.
-func (c *Coordinator) afterSettle() {
+func (c *Coordinator) afterSettle(now time.Time) {
 	for r := range c.ranks {
 		if c.ranks[r].stale || c.ranks[r].state.Armed != nil {
 			return
 		}
 	}
 	c.switched++
-	c.note("switched", -1)
+	c.events = append(c.events, Event{
+		What: "switched", Version: c.version, Step: c.step, Rank: wholeGroup,
+		Prepare: c.placed.Sub(c.began), Arm: c.released.Sub(c.placed), Settle: now.Sub(c.released),
+	})
 	c.current = c.target
 	c.forget()
 }
 
 // afterSecure begins to undo a round once its pass is held here.
 func (c *Coordinator) afterSecure(now time.Time) {
-	v := &c.ranks[c.cfg.Rank]
-	if !v.stale && v.state.Held != nil && *v.state.Held == c.step {
+	if c.holds() {
 		c.enter(PhaseUndo, now)
 	}
 }
 
-func (c *Coordinator) afterUndo() {
+// afterUndo lets the pass go on once no order of the round can take effect any
+// more. A rank out of reach may be left out when it can't be armed: it is the
+// coordinator's own that began the round, and some other rank has never been
+// armed in it. An undoing of yet another coordinator could have disarmed that
+// one, but then it holds the pass as well, and its hold is not touched here.
+func (c *Coordinator) afterUndo(now time.Time) {
+	never, absent := false, wholeGroup
 	for r := range c.ranks {
-		if !c.ranks[r].undone {
+		v := &c.ranks[r]
+		switch {
+		case v.undone:
+			never = never || !v.wasArmed
+		case c.foreign && absent == wholeGroup && r < c.cfg.Standbys && r != c.cfg.Rank && c.absent(r, now):
+			absent = r
+		default:
 			return
 		}
 	}
+	if absent != wholeGroup {
+		if !never || !c.onlyHeldBy(absent) {
+			return
+		}
+		c.note("undone without a rank out of reach", absent)
+	}
 	c.phase = PhaseFree
 }
 
+// onlyHeldBy reports whether no coordinator but one and this one holds a pass.
+func (c *Coordinator) onlyHeldBy(coordinator int) bool {
+	for r := range c.ranks {
+		v := &c.ranks[r]
+		if v.known && !v.stale && v.state.Held != nil && r != c.HoldRank() && r != c.holdRankOf(coordinator) {
+			return false
+		}
+	}
+	return true
+}
+
 // afterFree ends an undone round once its pass goes on at every rank.
 func (c *Coordinator) afterFree() {
 	for r := range c.ranks {
@@ -177,14 +240,14 @@
 			return
 		}
 	}
-	c.note("undone", -1)
+	c.note("undone", wholeGroup)
 	c.forget()
 }
 
 // frees reports whether a rank has still to be told to let the undone pass go.
 func (c *Coordinator) frees(rank int) bool {
 	v := &c.ranks[rank]
-	return !v.freed && v.state.Held != nil && *v.state.Held == c.step
+	return v.undone && !v.freed && v.state.Held != nil && *v.state.Held == c.step
 }
 
 // due returns the next order to a rank.
@@ -198,13 +261,11 @@
 		return c.duePrepare(v, now)
 	case PhaseHold, PhaseSecure:
 		return c.dueHold(rank, v)
-	case PhaseArm:
-		if c.armed(rank) {
-			return Order{}, false
-		}
-		return Order{Kind: OrderArm, Version: c.version, Step: c.step, Sequence: v.sequence}, true
+	case PhaseArm, PhaseArmOwn:
+		due := (rank == c.cfg.Rank) == (c.phase == PhaseArmOwn) && !c.armed(rank)
+		return Order{Kind: OrderArm, Version: c.version, Step: c.step, Sequence: v.sequence}, due
 	case PhaseGo:
-		return Order{Kind: OrderGo, Step: c.step, Sequence: v.state.Sequence}, rank == c.cfg.Rank
+		return Order{Kind: OrderGo, Step: c.step, Sequence: v.state.Sequence}, rank == c.HoldRank()
 	case PhaseSettle:
 		return Order{Kind: OrderRead}, v.state.Armed != nil && now.Sub(v.readAt) >= c.cfg.ReadInterval
 	case PhaseFree:
@@ -212,7 +273,7 @@
 		// given a prepare since belongs to that one.
 		return Order{Kind: OrderGo, Step: c.step, Sequence: v.sequence}, c.frees(rank)
 	case PhaseUndo:
-		return c.dueUndo(v)
+		return c.dueUndo(rank, v)
 	default:
 		return Order{}, false
 	}
@@ -230,28 +291,39 @@
 }
 
 func (c *Coordinator) dueHold(rank int, v *rankView) (Order, bool) {
-	if rank != c.cfg.Rank || v.state.Held != nil && *v.state.Held == c.step {
+	switch {
+	case rank != c.HoldRank() || c.holds():
 		return Order{}, false
-	}
-	if v.state.Held != nil {
-		// A rank holds one pass at a time; an earlier one of its own is let go.
+	case v.state.Held != nil:
+		// A rank holds one pass at a time; an earlier one is let go.
 		return Order{Kind: OrderGo, Step: *v.state.Held, Sequence: v.state.Sequence}, true
+	default:
+		return Order{Kind: OrderHold, Step: c.step, Sequence: v.state.Sequence}, true
 	}
-	return Order{Kind: OrderHold, Step: c.step, Sequence: v.state.Sequence}, true
 }
 
 // dueUndo disarms a rank, and then voids every order that is still on its way.
-func (c *Coordinator) dueUndo(v *rankView) (Order, bool) {
+// The coordinator's own rank, which is armed last, is disarmed first.
+func (c *Coordinator) dueUndo(rank int, v *rankView) (Order, bool) {
+	filler := c.filler()
 	switch {
-	case v.undone:
+	case v.undone || filler == nil:
+		return Order{}, false
+	case !c.foreign && rank != c.cfg.Rank && !c.ranks[c.cfg.Rank].undone:
 		return Order{}, false
 	case v.state.Armed != nil:
 		return Order{Kind: OrderDisarm, Version: v.state.Armed.Version, Sequence: v.state.Sequence}, true
-	case c.current == nil:
-		return Order{}, false
 	default:
 		version := c.cfg.NewVersion(c.highest)
 		c.highest = version
-		return Order{Kind: OrderPrepare, Version: version, Map: c.current.WithVersion(version), Sequence: v.state.Sequence}, true
+		return Order{Kind: OrderPrepare, Version: version, Map: filler.WithVersion(version), Sequence: v.state.Sequence}, true
+	}
+}
+
+// filler returns a map that ranks can prepare without copying anything.
+func (c *Coordinator) filler() *expertmap.Map {
+	if c.current != nil {
+		return c.current
 	}
+	return c.spare
 }
--- a/pkg/expertmap/holdswitch/types.go
+++ b/pkg/expertmap/holdswitch/types.go
@@ -1,6 +1,8 @@
 package holdswitch
 
 import (
+	"time"
+
 	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
 )
 
@@ -30,6 +32,8 @@
 	Armed *Armed
 	// Held is the pass that the rank keeps from beginning, nil for none.
 	Held *uint64
+	// Age is how old the state may be. Engines tell other hosts of the past.
+	Age time.Duration
 }
 
 // OrderKind tells orders apart.
@@ -76,7 +80,7 @@
 // Result is the answer to an order, with the rank's state after it.
 type Result struct {
 	Verdict Verdict
-	// State is nil when the rank could not be read.
+	// State is nil when the rank was not read.
 	State *State
 }
 
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -43,6 +43,11 @@
 	prepareTimeout = 3 * time.Second
 	// armTimeout bounds the arming, during which a pass may be held.
 	armTimeout = 600 * time.Millisecond
+	// absentAfter is how long a rank must stay without an answer to count as out
+	// of reach.
+	absentAfter = 200 * time.Millisecond
+	// silentFor is how long an agent that did not answer is not asked again.
+	silentFor = time.Second
 	// margin is how many passes ahead a switch is placed.
 	margin = 2
 )
@@ -95,6 +100,7 @@
 	nextMembers time.Time
 	quietUntil  time.Time
 	polls       int
+	silent      silence
 }
 
 // New returns an agent.
@@ -194,6 +200,7 @@
 		last: make(map[int]*Counts), held: make(map[int]*Held), paces: make([]float64, size.Ranks), members: make(map[int]Member),
 		coordinator: holdswitch.New(holdswitch.Config{
 			Rank: a.place.Rank, Ranks: a.place.Ranks, Epoch: a.place.Epoch, Margin: margin,
+			Standbys: standbys, AbsentAfter: absentAfter,
 			PrepareTimeout: prepareTimeout, ArmTimeout: armTimeout, ReadInterval: 50 * time.Millisecond,
 			NewVersion: newVersion(a.place.Rank),
 		}),
@@ -238,7 +245,10 @@
 		go a.give(ctx, r, cmd)
 	}
 	for _, e := range r.coordinator.Events() {
-		a.log.WithFields(logrus.Fields{"what": e.What, "version": e.Version, "step": e.Step, "rank": e.Rank}).Info("map switch")
+		a.log.WithFields(logrus.Fields{
+			"what": e.What, "version": e.Version, "step": e.Step, "rank": e.Rank,
+			"prepare_ms": e.Prepare.Milliseconds(), "arm_ms": e.Arm.Milliseconds(), "settle_ms": e.Settle.Milliseconds(),
+		}).Info("map switch")
 	}
 }
 
@@ -256,27 +266,46 @@
 }
 
 // give gives an order to a rank through its agent, or straight to its engine when
-// the agent does not answer.
+// the agent does not answer. Orders to hold a pass and let it go are always given
+// straight: whoever takes over must reach the rank that holds.
 func (a *Agent) give(ctx context.Context, r *round, cmd holdswitch.Command) {
-	var res holdswitch.Result
+	res := a.deliver(ctx, r, cmd)
+	if res.Verdict == holdswitch.Unanswered {
+		a.log.WithFields(logrus.Fields{"order": cmd.Order.Kind, "rank": cmd.Rank, "verdict": res.Verdict, "version": cmd.Order.Version, "step": cmd.Order.Step}).Warn("rank did not answer an order")
+	}
+	a.results <- answered{run: r, cmd: cmd, res: res}
+}
+
+func (a *Agent) deliver(ctx context.Context, r *round, cmd holdswitch.Command) holdswitch.Result {
 	m := r.members[cmd.Rank]
 	if cmd.Rank == r.place.Rank {
-		res = a.order(ctx, a.engine, cmd.Order)
-	} else {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return a.orderOwn(ctx, cmd.Order)
+	}
+	straight := cmd.Order.Kind == holdswitch.OrderHold || cmd.Order.Kind == holdswitch.OrderGo
+	if !straight && !r.silent.is(cmd.Rank, time.Now()) {
+		var res holdswitch.Result
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 		err := a.call(callCtx, m.Agent, pathOrder, &orderRequest{From: r.place, Order: cmd.Order}, &res)
-		cancel()
-		if err != nil {
-			res = a.order(ctx, a.cfg.Direct(m.Engine), cmd.Order)
+		if err == nil {
+			return res
 		}
+		r.silent.mark(cmd.Rank, time.Now())
 	}
-	a.results <- answered{run: r, cmd: cmd, res: res}
-}
-
-func (a *Agent) order(ctx context.Context, e Engine, o holdswitch.Order) holdswitch.Result {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return e.Order(ctx, o)
+	return a.cfg.Direct(m.Engine).Order(ctx, cmd.Order)
+}
+
+// orderOwn gives the agent's own rank an order and reads its state after it.
+func (a *Agent) orderOwn(ctx context.Context, o holdswitch.Order) holdswitch.Result {
+	res := a.engine.Order(ctx, o)
+	if reading, err := a.engine.Read(ctx); err == nil {
+		res.State = &reading.State
+	}
+	return res
 }
 
 // pollRanks asks ranks what they have counted.
@@ -285,6 +314,9 @@
 	r.observe(time.Now())
 	needHeld := r.coordinator.Current() == nil
 	for rank, m := range r.members {
+		if r.silent.is(rank, time.Now()) {
+			continue
+		}
 		request := &readRequest{From: r.place, Counts: true, Held: needHeld}
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -297,9 +329,11 @@
 				reply = &readReply{}
 				err = a.call(ctx, m.Agent, pathRead, request, reply)
 			}
-			if err == nil {
-				a.polled <- poll{run: r, rank: rank, reply: reply}
+			if err != nil {
+				r.silent.mark(rank, time.Now())
+				return
 			}
+			a.polled <- poll{run: r, rank: rank, reply: reply}
 		}()
 	}
 }
@@ -321,7 +355,7 @@
 		}
 		r.last[p.rank] = c
 	}
-	if r.told == r.size.Ranks {
+	if r.told >= r.size.Ranks {
 		r.observe(now)
 		a.plan(r, now)
 	}
@@ -355,6 +389,7 @@
 func (r *round) assemble() {
 	version, ok := r.coordinator.Uses()
 	if !ok || len(r.held) < r.size.Ranks {
+		r.fill()
 		return
 	}
 	m := &expertmap.Map{Version: version, Layers: make([]expertmap.Layer, r.size.Layers)}
@@ -375,6 +410,40 @@
 	}
 }
 
+// fill makes a map from what the ranks that have told hold. The others get the
+// experts that are left, which one of them must hold.
+func (r *round) fill() {
+	if len(r.held) < r.size.Ranks-1 {
+		return
+	}
+	m := &expertmap.Map{Layers: make([]expertmap.Layer, r.size.Layers)}
+	for l := range m.Layers {
+		m.Layers[l] = make(expertmap.Layer, r.size.Ranks)
+		missing, held := -1, make([]bool, r.size.Experts)
+		for rank := range m.Layers[l] {
+			h := r.held[rank]
+			if h == nil || len(h.Experts) != r.size.Layers {
+				missing = rank
+				continue
+			}
+			m.Layers[l][rank] = h.Experts[l]
+			for _, e := range h.Experts[l] {
+				if e >= 0 && e < len(held) {
+					held[e] = true
+				}
+			}
+		}
+		for e, ok := range held {
+			if !ok && missing >= 0 {
+				m.Layers[l][missing] = append(m.Layers[l][missing], e)
+			}
+		}
+	}
+	if m.Check(r.size) == nil {
+		r.coordinator.SetFiller(m)
+	}
+}
+
 // plan proposes a better map.
 func (a *Agent) plan(r *round, now time.Time) {
 	current := r.coordinator.Current()
--- a/pkg/lockstep/api.go
+++ b/pkg/lockstep/api.go
@@ -47,7 +47,7 @@
 			return c.NoContent(http.StatusBadRequest)
 		}
 		a.hear(r.From)
-		return c.JSON(http.StatusOK, a.engine.Order(c.Request().Context(), r.Order))
+		return c.JSON(http.StatusOK, a.orderOwn(c.Request().Context(), r.Order))
 	})
 	g.POST(pathRead, func(c echo.Context) error {
 		var r readRequest
--- a/pkg/lockstep/election.go
+++ b/pkg/lockstep/election.go
@@ -9,9 +9,9 @@
 // Silences after which a rank takes over.
 const (
 	// patience is the silence of the ranks before, some polls long.
-	patience = 400 * time.Millisecond
+	patience = 300 * time.Millisecond
 	// stagger is added for each rank before, so that one starts alone.
-	stagger = 150 * time.Millisecond
+	stagger = 100 * time.Millisecond
 )
 
 // election decides whether this agent coordinates. It is pure.
--- a/pkg/lockstep/types.go
+++ b/pkg/lockstep/types.go
@@ -48,7 +48,7 @@
 	Counts(ctx context.Context) (Counts, error)
 	// Held returns the experts that the rank holds.
 	Held(ctx context.Context) (Held, error)
-	// Order gives an order and reads the state after it.
+	// Order gives an order, or reads the state when that is the order.
 	Order(ctx context.Context, o holdswitch.Order) holdswitch.Result
 }
 
