--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -20,9 +20,8 @@
 	Seed uint64
 	// ColdShare is the part of a cold upstream's rate that this entry may use.
 	ColdShare float64
-	// RankLimit is how many requests a rank may have, 0 for its slots.
-	RankLimit int
-	// MaxWait is the longest wait of a request.
+	// MaxWait is the longest wait of a request for an upstream. Default 1.2 s:
+	// with a first event soon after, its caller is still there.
 	MaxWait time.Duration
 }
 
@@ -65,6 +64,10 @@
 	candidates []*candidate
 	engine     *table.Engine
 	cold       float64
+	pulse      pulse
+	granted    window
+	// typical is the usual time from the grant of a request to its end.
+	typical time.Duration
 }
 
 // sent is an attempt on its way.
@@ -72,6 +75,8 @@
 	service   *service
 	candidate *candidate
 	at        time.Time
+	// partAt is when the latest part of its answer arrived, zero before the first.
+	partAt time.Time
 }
 
 // New returns an empty dispatcher.
@@ -137,6 +142,10 @@
 		if i >= 0 {
 			c = s.candidates[i]
 		}
+		if c.Group.Epoch != u.Group.Epoch {
+			// The group was formed anew.
+			s.pulse.stopAt = time.Time{}
+		}
 		c.Upstream = u
 		c.out = out(u.ID, u.FailureDomain)
 		kept = append(kept, c)
@@ -144,9 +153,12 @@
 	s.candidates = kept
 }
 
-// Arrive queues a request and returns the decisions that follow.
+// Arrive queues or refuses a request and returns the decisions that follow.
 func (d *Dispatcher) Arrive(r Request, now time.Time) []Decision {
 	s := d.service(r.Service)
+	if p := d.refusal(s, &r, now); p != nil {
+		return []Decision{{ID: r.ID, Refusal: p}}
+	}
 	s.waiting[r.ID] = &r
 	deadline := r.Deadline
 	if most := now.Add(d.cfg.MaxWait); most.Before(deadline) {
@@ -170,6 +182,20 @@
 	delete(s.waiting, id)
 }
 
+// Part records that a part of an answer has arrived.
+func (d *Dispatcher) Part(id string, now time.Time) {
+	a, ok := d.sent[id]
+	if !ok {
+		return
+	}
+	if a.partAt.IsZero() {
+		a.service.pulse.began(now)
+	} else {
+		a.service.pulse.beat(now.Sub(a.partAt), now)
+	}
+	a.partAt = now
+}
+
 // Ended records that an attempt has ended, and returns the decisions that follow.
 func (d *Dispatcher) Ended(id string, f Failure, now time.Time) []Decision {
 	a, ok := d.sent[id]
@@ -177,9 +203,29 @@
 		return nil
 	}
 	delete(d.sent, id)
+	s := a.service
 	a.candidate.own--
 	a.candidate.failed(f, now)
-	return d.grant(a.service, now)
+	if !a.partAt.IsZero() {
+		s.pulse.ended()
+	}
+	switch f {
+	case FailureNone:
+		s.observe(now.Sub(a.at))
+	case FailureStalled:
+		s.pulse.stopped(now)
+	}
+	return d.grant(s, now)
+}
+
+// typicalWeight is the weight of the latest request in the typical time.
+const typicalWeight = 0.05
+
+func (s *service) observe(took time.Duration) {
+	if s.typical == 0 {
+		s.typical = took
+	}
+	s.typical += time.Duration(typicalWeight * float64(took-s.typical))
 }
 
 // Load records how many requests an upstream had when it answered.
@@ -191,13 +237,25 @@
 	}
 }
 
-// Tick refuses what has waited too long.
+// Tick refuses what has waited too long, or what waits for a group that stands
+// still.
 func (d *Dispatcher) Tick(now time.Time) []Decision {
 	var decisions []Decision
 	for _, s := range d.services {
-		for _, it := range s.queue.Expire(now) {
+		if s.queue.Len() == 0 {
+			continue
+		}
+		expired := s.queue.Expire(now)
+		if p := d.blocked(s, now); p != nil {
+			expired = append(expired, s.queue.RemoveAll()...)
+		}
+		for _, it := range expired {
+			p := d.blocked(s, now)
+			if p == nil {
+				p = d.later(problem.ReasonOverloaded, s.wait(now))
+			}
 			delete(s.waiting, it.ID)
-			decisions = append(decisions, Decision{ID: it.ID, Refusal: problem.New(problem.ReasonOverloaded, "")})
+			decisions = append(decisions, Decision{ID: it.ID, Refusal: p})
 		}
 		decisions = append(decisions, d.grant(s, now)...)
 	}
@@ -207,6 +265,9 @@
 // grant hands out upstreams while both a request and an upstream are there.
 func (d *Dispatcher) grant(s *service, now time.Time) []Decision {
 	var decisions []Decision
+	if s.pulse.still(now) {
+		return nil
+	}
 	for s.queue.Len() > 0 {
 		var chosen *candidate
 		it := s.queue.Next(func(it *fairqueue.Item) fairqueue.Verdict {
@@ -223,6 +284,7 @@
 		delete(s.waiting, it.ID)
 		chosen.own++
 		chosen.sends.add(now)
+		s.granted.add(now)
 		d.sent[it.ID] = &sent{service: s, candidate: chosen, at: now}
 		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream})
 	}
@@ -237,9 +299,9 @@
 		if !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
 			continue
 		}
-		load := float64(c.occupied())
+		load := float64(c.occupied(now))
 		if c.FailureDomain != d.cfg.FailureDomain {
-			load += 0.5
+			load += remoteWeight
 		}
 		switch {
 		case best == nil || load < least:
@@ -254,18 +316,13 @@
 	return best
 }
 
+// remoteWeight is how many requests less an upstream in another failure domain
+// must have to be preferred: it costs traffic between failure domains.
+const remoteWeight = 0.5
+
 // room reports whether a candidate can take one more request.
 func (d *Dispatcher) room(s *service, c *candidate, now time.Time) bool {
-	limit := c.Slots
-	if c.Group.Name != "" {
-		if !c.Group.Open {
-			return false
-		}
-		if d.cfg.RankLimit > 0 {
-			limit = d.cfg.RankLimit
-		}
-	}
-	if c.occupied() >= limit {
+	if c.Group.Name != "" && !c.Group.Open || c.occupied(now) >= c.Slots {
 		return false
 	}
 	return s.cold <= 0 || float64(c.sends.count(now)) < max(1, s.cold*d.cfg.ColdShare)
@@ -284,7 +341,7 @@
 		list = append(list, selection.Candidate{
 			Report: api.Report{
 				Upstream: c.ID, FailureDomain: c.FailureDomain, Service: c.Service, Incarnation: c.Incarnation,
-				Limit: c.Slots, Running: c.occupied(), Ready: c.usable(), Leaving: c.Leaving,
+				Limit: c.Slots, Running: c.occupied(now), Ready: c.usable(), Leaving: c.Leaving,
 			},
 			ReceivedAt: now,
 			InFlight:   c.own,
--- /dev/null
+++ b/pkg/dispatch/pulse.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// Bounds of the watch over a group's passes.
+const (
+	// stallFloor is the shortest silence of all streams that counts as a stall. A
+	// switch of the expert map pauses a group for less.
+	stallFloor = 400 * time.Millisecond
+	// stallPasses is the same in passes.
+	stallPasses = 5
+	// passWeight is the weight of the latest pass in the typical one.
+	passWeight = 0.05
+	// stoppedFor is how long a group that refused work as stopped is not tried
+	// again, unless it shows a sign of life before.
+	stoppedFor = time.Second
+)
+
+// pulse watches the passes of a service's streams. All ranks of a group pass
+// together, so the streams of one group are silent together when it stops.
+type pulse struct {
+	running int
+	beatAt  time.Time
+	pass    time.Duration
+	stopAt  time.Time
+}
+
+// began records that a stream has begun.
+func (p *pulse) began(now time.Time) {
+	p.running++
+	p.alive(now)
+}
+
+// beat records an event of a stream, a time after the one before.
+func (p *pulse) beat(gap time.Duration, now time.Time) {
+	if p.pass == 0 {
+		p.pass = gap
+	}
+	p.pass += time.Duration(passWeight * float64(gap-p.pass))
+	p.alive(now)
+}
+
+func (p *pulse) alive(now time.Time) {
+	p.beatAt = now
+	p.stopAt = time.Time{}
+}
+
+// ended records that a stream has ended. The silence counts anew from here.
+func (p *pulse) ended() { p.running-- }
+
+// stopped records that the group has refused work as stopped.
+func (p *pulse) stopped(now time.Time) { p.stopAt = now }
+
+// still reports whether the group does nothing now, as far as can be told.
+func (p *pulse) still(now time.Time) bool {
+	if !p.stopAt.IsZero() && now.Sub(p.stopAt) < stoppedFor {
+		return true
+	}
+	return p.running > 0 && now.Sub(p.beatAt) > max(stallFloor, stallPasses*p.pass)
+}
--- /dev/null
+++ b/pkg/dispatch/refuse.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
+)
+
+// Bounds of the times after which refused callers come back.
+const (
+	// leastReturn and mostReturn bound the time. Callers wait for a third of the
+	// time that they have left at most, and most of them have 8 s.
+	leastReturn = 200 * time.Millisecond
+	mostReturn  = 2500 * time.Millisecond
+	// returnSpread spreads callers that are refused together, as a part of the
+	// time.
+	returnSpread = 0.4
+)
+
+// refusal returns why a request must not wait, or nil.
+func (d *Dispatcher) refusal(s *service, r *Request, now time.Time) *problem.Problem {
+	if p := d.blocked(s, now); p != nil {
+		return p
+	}
+	if r.Priority || s.queue.Len() == 0 {
+		return nil
+	}
+	if wait := s.wait(now); wait > d.cfg.MaxWait {
+		return d.later(problem.ReasonOverloaded, wait)
+	}
+	return nil
+}
+
+// blocked returns why nothing of a service can run now, or nil.
+func (d *Dispatcher) blocked(s *service, now time.Time) *problem.Problem {
+	usable, open := false, false
+	for _, c := range s.candidates {
+		if c.usable() {
+			usable = true
+			open = open || c.Group.Name == "" || c.Group.Open
+		}
+	}
+	switch {
+	case !usable:
+		return d.later(problem.ReasonNoUpstream, mostReturn)
+	case !open || s.pulse.still(now):
+		return d.later(problem.ReasonGroupStopped, mostReturn)
+	default:
+		return nil
+	}
+}
+
+// wait predicts how long a request that comes now would wait, as the queue drains
+// now.
+func (s *service) wait(now time.Time) time.Duration {
+	perSecond := float64(s.granted.count(now))
+	if s.typical > 0 {
+		running := 0
+		for _, c := range s.candidates {
+			running += c.own
+		}
+		perSecond = max(perSecond, float64(running)/s.typical.Seconds())
+	}
+	if perSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(s.queue.Len()+1) / perSecond * float64(time.Second))
+}
+
+// later returns a refusal with the time after which to come back.
+func (d *Dispatcher) later(reason problem.Reason, wait time.Duration) *problem.Problem {
+	wait = min(mostReturn, max(leastReturn, wait))
+	spread := 1 - returnSpread*d.rand.Float64()
+	return problem.New(reason, "").WithRetryAfter(time.Duration(spread * float64(wait)))
+}
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -81,8 +81,18 @@
 // usable reports whether the candidate takes requests at all.
 func (c *candidate) usable() bool { return !c.out && !c.Leaving }
 
-// occupied is how many requests the candidate has.
-func (c *candidate) occupied() int { return c.own + c.others }
+// othersLife is how long what an upstream said of other entries' requests counts;
+// a request takes about as long.
+const othersLife = 1500 * time.Millisecond
+
+// occupied estimates how many requests the candidate has.
+func (c *candidate) occupied(now time.Time) int {
+	age := now.Sub(c.othersAt)
+	if age >= othersLife {
+		return c.own
+	}
+	return c.own + int(float64(c.others)*(1-float64(age)/float64(othersLife)))
+}
 
 // failed records the end of an attempt.
 func (c *candidate) failed(f Failure, now time.Time) {
--- a/pkg/expertmap/plan/spread.go
+++ b/pkg/expertmap/plan/spread.go
@@ -19,6 +19,8 @@
 	Target float64
 	// MinGain is by how much a copy must lower the skew of its layer.
 	MinGain float64
+	// MinTotal is by how much a change must lower the mean skew of all layers.
+	MinTotal float64
 }
 
 // Spread returns a map that lowers the skew of each layer by copying the experts
@@ -40,7 +42,7 @@
 			total += n
 		}
 	}
-	if total == 0 {
+	if total == 0 || Skew(current, shares, speeds, size)-Skew(out, shares, speeds, size) < b.MinTotal {
 		return nil, 0
 	}
 	return out, total
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -247,6 +247,7 @@
 	if r.FirstPart.IsZero() {
 		r.FirstPart = time.Now()
 	}
+	j.fleet.Part(r.ID)
 	err := r.Reply.Data(part)
 	j.state.Progress(r.Reply.Relayed())
 	return err
--- a/pkg/filter/attempt/restart_test.go
+++ b/pkg/filter/attempt/restart_test.go
@@ -38,6 +38,7 @@
 	a.addresses = a.addresses[1:]
 	return u, nil
 }
+func (a *agentsInTurn) Part(string)                          {}
 func (a *agentsInTurn) Started(string)                       {}
 func (a *agentsInTurn) Release(string, problem.Reason)       {}
 func (a *agentsInTurn) Report(api.Report)                    {}
--- a/pkg/filter/queue/queue.go
+++ b/pkg/filter/queue/queue.go
@@ -15,6 +15,8 @@
 type Source interface {
 	Acquire(ctx context.Context, r scheduler.Request) (fleet.Upstream, error)
 	Started(requestID string)
+	// Part records that a part of the answer has arrived.
+	Part(requestID string)
 	// Release gives an upstream back. failure is why the attempt failed, empty
 	// when it did not.
 	Release(requestID string, failure problem.Reason)
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -109,6 +109,13 @@
 // Started records that the upstream has started to answer a request.
 func (f *Direct) Started(string) {}
 
+// Part records that a part of an answer has arrived.
+func (f *Direct) Part(requestID string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.Part(requestID, time.Now())
+}
+
 // Release gives back the upstream of a request after an attempt.
 func (f *Direct) Release(requestID string, failure problem.Reason) {
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -166,6 +166,9 @@
 	f.deliver(f.scheduler.Started(requestID, time.Now()))
 }
 
+// Part does nothing: the agents watch the answers.
+func (f *Fleet) Part(string) {}
+
 // Release gives back the upstream of a request after an attempt.
 func (f *Fleet) Release(requestID string, failure problem.Reason) {
 	f.mu.Lock()
