--- a/pkg/connpool/pool.go
+++ b/pkg/connpool/pool.go
@@ -128,6 +128,17 @@
 	return buf.Bytes(), nil
 }
 
+// Probe opens a connection and keeps it. An error means that the address can't be
+// reached.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.get(ctx, address, Options{MaxRest: -1})
+	if err != nil {
+		return err
+	}
+	p.put(c, p.cfg.MaxIdle)
+	return nil
+}
+
 // get returns a kept or new connection.
 func (p *Pool) get(ctx context.Context, address string, opts Options) (*conn, error) {
 	if c := p.kept(address, opts, time.Now()); c != nil {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -351,3 +351,46 @@
 	}
 	return list
 }
+
+// Still reports whether the streams of any service are silent together.
+func (d *Dispatcher) Still(now time.Time) bool {
+	for _, s := range d.services {
+		if s.pulse.still(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Sample returns some upstreams, each of another failure domain where there are
+// several.
+func (d *Dispatcher) Sample(n int) []Upstream {
+	var list []Upstream
+	for _, s := range d.services {
+		for _, c := range s.candidates {
+			list = append(list, c.Upstream)
+		}
+	}
+	d.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	seen := make(map[string]bool)
+	var out []Upstream
+	for _, u := range list {
+		if !seen[u.FailureDomain] && len(out) < n {
+			seen[u.FailureDomain] = true
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// RefuseAll refuses all waiting requests.
+func (d *Dispatcher) RefuseAll(refusal func() *problem.Problem) []Decision {
+	var decisions []Decision
+	for _, s := range d.services {
+		for _, it := range s.queue.RemoveAll() {
+			delete(s.waiting, it.ID)
+			decisions = append(decisions, Decision{ID: it.ID, Refusal: refusal()})
+		}
+	}
+	return decisions
+}
--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -63,8 +63,11 @@
 	Prepare, Arm, Settle time.Duration
 }
 
-// wholeGroup stands for no rank in an event.
-const wholeGroup = -1
+// wholeGroup stands for no rank in an event, unknown for no known coordinator.
+const (
+	wholeGroup = -1
+	unknown    = -1
+)
 
 // rankView is what a coordinator knows of one rank.
 type rankView struct {
@@ -79,16 +82,20 @@
 	ended  time.Time
 	readAt time.Time
 	// ordered is true once the round's prepare was accepted, undone once a prepare
-	// that changes nothing has made all orders before it void. sequence is what
-	// the rank's number was then.
+	// that changes nothing has made all orders before it void. sequence is the
+	// rank's number since then, and while a round is undone the one by which the
+	// rank was found: a rank whose number moves on belongs to somebody else.
 	ordered  bool
 	undone   bool
+	pinned   bool
 	sequence uint64
 	// wasArmed is true when the rank was seen armed since the round's pass was
 	// held to undo it.
 	wasArmed bool
-	// freed is true once the rank was told to let the undone pass go.
+	// freed is true once the rank was told to let the undone pass go, mine while
+	// it holds a pass for an undoing of this coordinator.
 	freed bool
+	mine  bool
 }
 
 // Coordinator drives the switches of one group in one epoch.
@@ -104,6 +111,12 @@
 	margin   uint64
 	// foreign is true while a round of another coordinator is undone.
 	foreign bool
+	// holdAt is the rank at which the round's pass is held. cleared is true once no
+	// earlier order can let it go there.
+	holdAt  int
+	cleared bool
+	// alone is true when nobody else can have held a pass there before.
+	alone bool
 	// current is the map in force by content, nil until it is known.
 	current *expertmap.Map
 	// spare is a map that the ranks within reach can prepare without copying.
@@ -112,6 +125,8 @@
 	switched int
 	undone   int
 	lost     bool
+	// yieldUntil is until when the group is left to another coordinator.
+	yieldUntil time.Time
 	// began, placed and released are when the round began, chose its pass and let
 	// it go.
 	began, placed, released time.Time
@@ -120,7 +135,9 @@
 
 // New returns a coordinator that knows nothing of its ranks.
 func New(cfg Config) *Coordinator {
-	return &Coordinator{cfg: cfg, ranks: make([]rankView, cfg.Ranks), phase: PhaseIdle, margin: cfg.Margin}
+	c := &Coordinator{cfg: cfg, ranks: make([]rankView, cfg.Ranks), phase: PhaseIdle, margin: cfg.Margin}
+	c.holdAt = c.holdRankOf(cfg.Rank)
+	return c
 }
 
 // Phase returns what the coordinator is doing.
@@ -146,11 +163,9 @@
 	c.events = append(c.events, Event{What: what, Version: c.version, Step: c.step, Rank: rank})
 }
 
-// HoldRank returns the rank at which a coordinator holds passes. Each coordinator
-// has one of its own, beside another agent: a coordinator whose host freezes does
-// not take the hold out of reach.
-func (c *Coordinator) HoldRank() int { return c.holdRankOf(c.cfg.Rank) }
-
+// holdRankOf returns the rank at which a coordinator holds passes. Each has one of
+// its own, beside another agent: a coordinator whose host freezes does not take
+// the hold out of reach.
 func (c *Coordinator) holdRankOf(coordinator int) int {
 	if c.cfg.Ranks < 2*c.cfg.Standbys {
 		return coordinator
@@ -158,6 +173,27 @@
 	return coordinator + c.cfg.Standbys
 }
 
+// chooseHold takes the rank at which the pass of a round to undo will be held: one
+// that holds nothing, so that nobody has a reason to let it go, or that is not
+// armed, so that a prepare can void the orders to let it go. It reports false when
+// there is none.
+func (c *Coordinator) chooseHold() bool {
+	own := []int{c.holdRankOf(c.cfg.Rank), c.cfg.Rank}
+	shared := make([]int, 0, c.cfg.Ranks)
+	for r := c.cfg.Ranks - 1; r >= 2*c.cfg.Standbys; r-- {
+		shared = append(shared, r)
+	}
+	for i, r := range append(own, shared...) {
+		v := &c.ranks[r]
+		if v.known && !v.stale && (v.state.Held == nil || *v.state.Held == c.step && (v.mine || v.state.Armed == nil)) {
+			c.holdAt, c.cleared = r, false
+			c.alone = i < len(own) && v.state.Held == nil && v.state.Age == 0
+			return true
+		}
+	}
+	return false
+}
+
 // Uses returns the version that all ranks use, and whether they are known and
 // agree.
 func (c *Coordinator) Uses() (expertmap.Version, bool) {
@@ -199,6 +235,12 @@
 	}
 	v.state, v.known, v.stale, v.readAt = s, true, false, now
 	c.highest = max(c.highest, s.Map, s.Prepared)
+	if !v.pinned {
+		v.pinned = true
+		if c.phase == PhaseUndo {
+			v.sequence = s.Sequence
+		}
+	}
 	if s.Armed != nil {
 		v.wasArmed = true
 		c.highest = max(c.highest, s.Armed.Version)
@@ -261,15 +303,19 @@
 	}
 	switch cmd.Order.Kind {
 	case OrderPrepare:
-		c.prepared(v, &cmd.Order, res)
+		c.prepared(cmd.Rank, &cmd.Order, res, now)
 	case OrderHold:
-		c.held(res)
+		c.held(res, now)
 	case OrderArm:
 		if res.Verdict == Refused && (c.phase == PhaseArm || c.phase == PhaseArmOwn) && cmd.Order.Version == c.version {
 			c.undo("arm refused", cmd.Rank, now)
 		}
+	case OrderDisarm:
+		c.refused(cmd.Rank, res, now)
 	case OrderGo:
-		v.freed = v.freed || c.phase == PhaseFree && res.Verdict != Unanswered
+		if c.phase == PhaseFree && res.Verdict != Unanswered {
+			v.freed, v.mine = true, false
+		}
 	}
 }
 
@@ -293,33 +339,61 @@
 	return v.known && !v.stale
 }
 
-func (c *Coordinator) prepared(v *rankView, o *Order, res Result) {
-	switch {
-	case c.phase == PhaseUndo && res.Verdict == Done && res.State != nil:
-		v.undone, v.sequence = true, res.State.Sequence
-	case c.phase == PhaseUndo && res.Verdict == Refused:
-		v.wasArmed = true
-	case c.phase != PhasePrepare || o.Version != c.version:
-	case res.Verdict == Done && res.State != nil:
-		v.ordered, v.sequence = true, res.State.Sequence
-	case res.Verdict == Refused:
-		c.note("prepare refused", wholeGroup)
-		c.forget()
+func (c *Coordinator) prepared(rank int, o *Order, res Result, now time.Time) {
+	v := &c.ranks[rank]
+	switch c.phase {
+	case PhaseSecure:
+		if rank == c.holdAt && res.Verdict == Done && res.State != nil {
+			c.cleared, v.sequence = true, res.State.Sequence
+		}
+	case PhaseUndo:
+		if res.Verdict == Done && res.State != nil {
+			v.undone, v.sequence = true, res.State.Sequence
+			return
+		}
+		v.wasArmed = v.wasArmed || res.Verdict == Refused
+		c.refused(rank, res, now)
+	case PhasePrepare:
+		if o.Version != c.version {
+			return
+		}
+		switch {
+		case res.Verdict == Done && res.State != nil:
+			v.ordered, v.sequence = true, res.State.Sequence
+		case res.Verdict == Refused:
+			c.note("prepare refused", rank)
+			c.forget()
+		}
 	}
 }
 
-func (c *Coordinator) held(res Result) {
-	if res.Verdict != Refused {
-		return
+// refused begins an undoing anew when a rank has refused an order of it because
+// somebody else has given that rank a prepare.
+func (c *Coordinator) refused(rank int, res Result, now time.Time) {
+	v := &c.ranks[rank]
+	if c.phase == PhaseUndo && res.Verdict == Refused && v.pinned && !v.stale && v.state.Sequence != v.sequence {
+		c.note("another coordinator gives orders", rank)
+		c.yieldUntil = now.Add(time.Duration(1+c.cfg.Rank) * yieldTime)
+		c.forget()
 	}
-	switch c.phase {
-	case PhaseHold:
+}
+
+// yieldTime is how long the lowest rank leaves the group to another coordinator
+// that undoes the same round; the others leave it for a multiple.
+const yieldTime = 150 * time.Millisecond
+
+func (c *Coordinator) held(res Result, now time.Time) {
+	switch {
+	case c.phase == PhaseHold && res.Verdict == Refused:
 		// The pass has begun; the next try is placed further away.
 		c.margin = min(c.margin+1, maxMargin)
 		c.place()
-	case PhaseSecure:
-		// The pass has begun, so nothing is armed for it any more.
+	case c.phase == PhaseSecure && res.Verdict == Refused:
+		// The pass has begun, or somebody else has given the rank a prepare.
 		c.forget()
+	case c.phase == PhaseSecure && res.Verdict == Done:
+		c.ranks[c.holdAt].mine = true
+		c.beginUndo(now)
 	}
 }
 
@@ -335,16 +409,55 @@
 	c.step = step + c.margin
 }
 
-// undo gives a round up. While ranks may be armed, its pass is held at the
-// coordinator's own hold.
+// undoTimeout is how long an undoing may take before it begins anew from what the
+// ranks say then.
+const undoTimeout = 2 * time.Second
+
+// undo gives the own round up, of which ranks may be armed. Its pass is held.
 func (c *Coordinator) undo(why string, rank int, now time.Time) {
 	c.note("undo: "+why, rank)
 	c.undone++
+	c.spare, c.foreign = nil, false
 	for r := range c.ranks {
 		v := &c.ranks[r]
-		v.undone, v.freed, v.wasArmed = false, false, v.state.Armed != nil
+		v.undone, v.freed, v.pinned, v.wasArmed = false, false, true, v.state.Armed != nil
+	}
+	c.enter(PhaseUndo, now.Add(undoTimeout))
+}
+
+// undoForeign gives another coordinator's round up. Its pass is to be held by this
+// one first.
+func (c *Coordinator) undoForeign(step uint64, now time.Time) {
+	c.step, c.version, c.foreign = step, 0, true
+	if !c.chooseHold() {
+		return
+	}
+	c.note("undo: found an unfinished round", wholeGroup)
+	c.undone++
+	c.spare = nil
+	c.enter(PhaseSecure, now.Add(undoTimeout))
+}
+
+// beginUndo reads every rank anew, now that the pass is held.
+func (c *Coordinator) beginUndo(now time.Time) {
+	for r := range c.ranks {
+		v := &c.ranks[r]
+		v.undone, v.freed, v.pinned, v.wasArmed = false, false, false, false
+		v.stale, v.ended = true, now
+	}
+	c.enter(PhaseUndo, now.Add(undoTimeout))
+}
+
+// abandon gives up a round of which no rank can be armed. Only the own hold is
+// left to let go.
+func (c *Coordinator) abandon(why string, rank int) {
+	c.note("abandoned: "+why, rank)
+	for r := range c.ranks {
+		c.ranks[r].undone = false
 	}
-	c.enter(PhaseSecure, now)
+	v := &c.ranks[c.holdAt]
+	v.undone, v.freed, v.sequence = true, false, v.state.Sequence
+	c.phase = PhaseFree
 }
 
 // forget makes every rank be read before the next round.
--- a/pkg/expertmap/holdswitch/step.go
+++ b/pkg/expertmap/holdswitch/step.go
@@ -34,8 +34,10 @@
 func (c *Coordinator) advance(now time.Time) {
 	for {
 		before := c.phase
+		c.yield()
 		switch c.phase {
 		case PhaseIdle:
+			c.refresh(now)
 			c.takeOver(now)
 		case PhasePrepare:
 			c.afterPrepare(now)
@@ -62,16 +64,49 @@
 	}
 }
 
+// yield abandons the own round when a rank is armed for another one: its
+// coordinator has given all ranks a prepare, so they have dropped what this one
+// prepared.
+func (c *Coordinator) yield() {
+	switch c.phase {
+	case PhaseHold, PhaseArm, PhaseArmOwn:
+	default:
+		return
+	}
+	for r := range c.ranks {
+		if a := c.ranks[r].state.Armed; a != nil && a.Version != c.version {
+			c.abandon("another coordinator's round", r)
+			return
+		}
+	}
+}
+
 // absent reports whether a rank has been out of reach for long.
 func (c *Coordinator) absent(rank int, now time.Time) bool {
 	v := &c.ranks[rank]
 	return !v.missed.IsZero() && now.Sub(v.missed) >= c.cfg.AbsentAfter
 }
 
+// refresh has ranks read again that seem to use another map than the first one:
+// another coordinator may have switched since.
+func (c *Coordinator) refresh(now time.Time) {
+	for r := range c.ranks {
+		if c.ranks[r].state.Map == c.ranks[0].state.Map {
+			continue
+		}
+		for _, v := range []*rankView{&c.ranks[0], &c.ranks[r]} {
+			v.stale = v.stale || now.Sub(v.readAt) >= c.cfg.ReadInterval
+		}
+	}
+}
+
 // takeOver undoes what another coordinator has left. It never finishes it: the
 // other one may be undoing it at the same time. Ranks of other coordinators may
 // be out of reach, as one that froze has its own rank on the same host.
 func (c *Coordinator) takeOver(now time.Time) {
+	if now.Before(c.yieldUntil) {
+		return
+	}
 	left, step := false, uint64(math.MaxUint64)
 	for r := range c.ranks {
 		v := &c.ranks[r]
@@ -91,8 +126,24 @@
 	if !left {
 		return
 	}
-	c.step, c.version, c.foreign = step, 0, true
-	c.undo("found an unfinished round", wholeGroup, now)
+	c.undoForeign(step, now)
+}
+
+// owner returns the coordinator whose hold is the only one beside this one's, as
+// the ranks said after this one's was in force.
+func (c *Coordinator) owner() int {
+	owner := unknown
+	for r := range c.ranks {
+		v := &c.ranks[r]
+		if r == c.holdAt || v.stale || v.state.Held == nil {
+			continue
+		}
+		if owner != unknown || r < c.cfg.Standbys || r >= 2*c.cfg.Standbys {
+			return unknown
+		}
+		owner = r - c.cfg.Standbys
+	}
+	return owner
 }
 
 func (c *Coordinator) afterPrepare(now time.Time) {
@@ -113,13 +164,14 @@
 	}
 	c.margin = c.cfg.Margin
 	c.place()
+	c.holdAt = c.holdRankOf(c.cfg.Rank)
 	c.placed = now
 	c.enter(PhaseHold, now.Add(c.cfg.ArmTimeout))
 }
 
 // holds reports whether the round's pass is known to be held here.
 func (c *Coordinator) holds() bool {
-	v := &c.ranks[c.HoldRank()]
+	v := &c.ranks[c.holdAt]
 	return v.known && !v.stale && v.state.Held != nil && *v.state.Held == c.step
 }
 
@@ -128,7 +180,7 @@
 	case c.holds():
 		c.enter(PhaseArm, now.Add(c.cfg.ArmTimeout))
 	case now.After(c.deadline):
-		c.undo("hold timed out", c.HoldRank(), now)
+		c.abandon("hold timed out", c.holdAt)
 	}
 }
 
@@ -164,7 +216,7 @@
 
 // afterGo waits for the pass once it is no longer held.
 func (c *Coordinator) afterGo(now time.Time) {
-	v := &c.ranks[c.HoldRank()]
+	v := &c.ranks[c.holdAt]
 	if v.stale || v.state.Held != nil && *v.state.Held == c.step {
 		return
 	}
@@ -172,13 +224,25 @@
 	c.phase = PhaseSettle
 }
 
+// settleTimeout is how long a pass that another coordinator holds is waited for
+// before that one counts as gone.
+const settleTimeout = time.Second
+
 // afterSettle ends a round once its pass has begun. An idle group makes none.
 func (c *Coordinator) afterSettle(now time.Time) {
+	waits := false
 	for r := range c.ranks {
-		if c.ranks[r].stale || c.ranks[r].state.Armed != nil {
+		v := &c.ranks[r]
+		waits = waits || v.stale || v.state.Armed != nil
+		if v.state.Held != nil && now.Sub(c.released) > settleTimeout {
+			c.note("a pass is held by another coordinator", r)
+			c.forget()
 			return
 		}
 	}
+	if waits {
+		return
+	}
 	c.switched++
 	c.events = append(c.events, Event{
 		What: "switched", Version: c.version, Step: c.step, Rank: wholeGroup,
@@ -188,49 +252,48 @@
 	c.forget()
 }
 
-// afterSecure begins to undo a round once its pass is held here.
+// afterSecure gives up when the pass could not be held.
 func (c *Coordinator) afterSecure(now time.Time) {
-	if c.holds() {
-		c.enter(PhaseUndo, now)
+	if now.After(c.deadline) {
+		c.note("undo timed out", c.holdAt)
+		c.forget()
 	}
 }
 
 // afterUndo lets the pass go on once no order of the round can take effect any
-// more. A rank out of reach may be left out when it can't be armed: it is the
-// coordinator's own that began the round, and some other rank has never been
-// armed in it. An undoing of yet another coordinator could have disarmed that
-// one, but then it holds the pass as well, and its hold is not touched here.
+// more. The own rank of the coordinator that began the round may be left out when
+// it is out of reach: it is armed last and disarmed first, so it is not armed if
+// some other rank has never been armed. An undoing of yet another coordinator
+// could have disarmed that one, but then it holds the pass as well.
 func (c *Coordinator) afterUndo(now time.Time) {
-	never, absent := false, wholeGroup
+	never, left := false, unknown
 	for r := range c.ranks {
 		v := &c.ranks[r]
 		switch {
 		case v.undone:
 			never = never || !v.wasArmed
-		case c.foreign && absent == wholeGroup && r < c.cfg.Standbys && r != c.cfg.Rank && c.absent(r, now):
-			absent = r
+		case c.foreign && left == unknown && r < c.cfg.Standbys && r != c.cfg.Rank && c.absent(r, now):
+			left = r
 		default:
+			c.undoTimedOut(r, now)
 			return
 		}
 	}
-	if absent != wholeGroup {
-		if !never || !c.onlyHeldBy(absent) {
+	if left != unknown {
+		if !never || !c.alone || c.owner() != left {
+			c.undoTimedOut(left, now)
 			return
 		}
-		c.note("undone without a rank out of reach", absent)
+		c.note("undone without a rank out of reach", left)
 	}
 	c.phase = PhaseFree
 }
 
-// onlyHeldBy reports whether no coordinator but one and this one holds a pass.
-func (c *Coordinator) onlyHeldBy(coordinator int) bool {
-	for r := range c.ranks {
-		v := &c.ranks[r]
-		if v.known && !v.stale && v.state.Held != nil && r != c.HoldRank() && r != c.holdRankOf(coordinator) {
-			return false
-		}
+func (c *Coordinator) undoTimedOut(rank int, now time.Time) {
+	if now.After(c.deadline) {
+		c.note("undo timed out", rank)
+		c.forget()
 	}
-	return true
 }
 
 // afterFree ends an undone round once its pass goes on at every rank.
@@ -259,13 +322,15 @@
 	switch c.phase {
 	case PhasePrepare:
 		return c.duePrepare(v, now)
-	case PhaseHold, PhaseSecure:
-		return c.dueHold(rank, v)
+	case PhaseHold:
+		return Order{Kind: OrderHold, Step: c.step, Sequence: v.sequence}, rank == c.holdAt && !c.holds()
+	case PhaseSecure:
+		return c.dueSecure(rank, v)
 	case PhaseArm, PhaseArmOwn:
 		due := (rank == c.cfg.Rank) == (c.phase == PhaseArmOwn) && !c.armed(rank)
 		return Order{Kind: OrderArm, Version: c.version, Step: c.step, Sequence: v.sequence}, due
 	case PhaseGo:
-		return Order{Kind: OrderGo, Step: c.step, Sequence: v.state.Sequence}, rank == c.HoldRank()
+		return Order{Kind: OrderGo, Step: c.step, Sequence: v.state.Sequence}, rank == c.holdAt
 	case PhaseSettle:
 		return Order{Kind: OrderRead}, v.state.Armed != nil && now.Sub(v.readAt) >= c.cfg.ReadInterval
 	case PhaseFree:
@@ -273,7 +338,7 @@
 		// given a prepare since belongs to that one.
 		return Order{Kind: OrderGo, Step: c.step, Sequence: v.sequence}, c.frees(rank)
 	case PhaseUndo:
-		return c.dueUndo(rank, v)
+		return c.dueUndo(rank, v, now)
 	default:
 		return Order{}, false
 	}
@@ -290,40 +355,54 @@
 	}
 }
 
-func (c *Coordinator) dueHold(rank int, v *rankView) (Order, bool) {
-	switch {
-	case rank != c.HoldRank() || c.holds():
+// dueSecure holds the pass of a round to undo. Before that, a prepare that changes
+// nothing voids all orders to let it go. A rank that is armed takes none, but was
+// given one since anybody could have thought of it as undone.
+func (c *Coordinator) dueSecure(rank int, v *rankView) (Order, bool) {
+	if rank != c.holdAt {
 		return Order{}, false
-	case v.state.Held != nil:
-		// A rank holds one pass at a time; an earlier one is let go.
-		return Order{Kind: OrderGo, Step: *v.state.Held, Sequence: v.state.Sequence}, true
-	default:
+	}
+	if v.state.Armed != nil {
 		return Order{Kind: OrderHold, Step: c.step, Sequence: v.state.Sequence}, true
 	}
+	if c.cleared {
+		return Order{Kind: OrderHold, Step: c.step, Sequence: v.sequence}, true
+	}
+	return c.void(v.state.Sequence)
 }
 
-// dueUndo disarms a rank, and then voids every order that is still on its way.
-// The coordinator's own rank, which is armed last, is disarmed first.
-func (c *Coordinator) dueUndo(rank int, v *rankView) (Order, bool) {
+// void returns a prepare that changes nothing.
+func (c *Coordinator) void(sequence uint64) (Order, bool) {
 	filler := c.filler()
-	switch {
-	case v.undone || filler == nil:
+	if filler == nil {
 		return Order{}, false
-	case !c.foreign && rank != c.cfg.Rank && !c.ranks[c.cfg.Rank].undone:
+	}
+	version := c.cfg.NewVersion(c.highest)
+	c.highest = version
+	return Order{Kind: OrderPrepare, Version: version, Map: filler.WithVersion(version), Sequence: sequence}, true
+}
+
+// dueUndo disarms a rank, and then voids every order that is still on its way.
+// The coordinator's own rank, which is armed last, is disarmed first: the round
+// may be one that it began itself before it started anew.
+func (c *Coordinator) dueUndo(rank int, v *rankView, now time.Time) (Order, bool) {
+	switch {
+	case v.undone || rank != c.cfg.Rank && !c.ranks[c.cfg.Rank].undone:
 		return Order{}, false
+	case v.state.Armed != nil && v.state.Armed.Step < c.step:
+		// The hold does not cover an earlier pass; it has to begin first.
+		return Order{Kind: OrderRead}, now.Sub(v.readAt) >= c.cfg.ReadInterval
 	case v.state.Armed != nil:
-		return Order{Kind: OrderDisarm, Version: v.state.Armed.Version, Sequence: v.state.Sequence}, true
+		return Order{Kind: OrderDisarm, Version: v.state.Armed.Version, Sequence: v.sequence}, true
 	default:
-		version := c.cfg.NewVersion(c.highest)
-		c.highest = version
-		return Order{Kind: OrderPrepare, Version: version, Map: filler.WithVersion(version), Sequence: v.state.Sequence}, true
+		return c.void(v.sequence)
 	}
 }
 
 // filler returns a map that ranks can prepare without copying anything.
 func (c *Coordinator) filler() *expertmap.Map {
-	if c.current != nil {
-		return c.current
+	if m := c.Current(); m != nil {
+		return m
 	}
 	return c.spare
 }
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -154,7 +154,7 @@
 	j.request.Tried = append(j.request.Tried, u.Report.Upstream)
 	failed := true
 	defer func() { j.release(failed) }()
-	result := j.listen(ctx, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.state.Attempts, j) })
+	result := j.listen(ctx, u, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.state.Attempts, j) })
 	for {
 		if result.Err == nil && errors.Is(ctx.Err(), context.Canceled) {
 			result.Err = problem.New(problem.ReasonCallerGone, "")
@@ -171,7 +171,7 @@
 		case retry.Ask:
 			result = j.ask(u)
 		case retry.Resume:
-			result = j.listen(ctx, func(ctx context.Context) Result { return j.exchange.Resume(ctx, u, j) })
+			result = j.listen(ctx, u, func(ctx context.Context) Result { return j.exchange.Resume(ctx, u, j) })
 		case retry.Done:
 			failed = false
 			return action, j.request.Reply.End()
@@ -197,10 +197,22 @@
 	j.fleet.Release(j.request.ID, reason)
 }
 
-// listen runs a step that reads an answer, until it is silent for too long.
-func (j *job) listen(ctx context.Context, step func(context.Context) Result) Result {
+// listen runs a step that reads an answer, until it is silent for too long or the
+// upstream is lost.
+func (j *job) listen(ctx context.Context, u fleet.Upstream, step func(context.Context) Result) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if u.Lost != nil {
+		ended := make(chan struct{})
+		defer close(ended)
+		go func() {
+			select {
+			case <-u.Lost:
+				cancel()
+			case <-ended:
+			}
+		}()
+	}
 	j.silent = time.AfterFunc(j.silence(), cancel)
 	defer j.silent.Stop()
 	return j.keep(step(ctx))
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -5,10 +5,14 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/dispatch"
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/reach"
 	"github.com/acaciaglade/acaciaglade/pkg/scheduler"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
@@ -17,17 +21,108 @@
 // tickInterval is the time between two looks at what has waited too long.
 const tickInterval = 20 * time.Millisecond
 
+// Bounds of the search for upstreams within reach.
+const (
+	// probeInterval is the time between two tries, probeTimeout how long one may
+	// take.
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 200 * time.Millisecond
+	// probeCount is how many upstreams are tried at once.
+	probeCount = 3
+	// rotation is how long the platform's balancer takes to send callers to other
+	// entries once this one is not ready: two of its questions, a second apart.
+	rotation = 2200 * time.Millisecond
+	// leastReturn is the shortest time after which a caller is told to come back.
+	leastReturn = 100 * time.Millisecond
+)
+
 // Direct is an entry's view of upstreams that it calls itself.
 type Direct struct {
+	probe func(ctx context.Context, address string) error
+	log   *logrus.Entry
+
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	waiting    map[string]chan answer
 	hosts      []hosts.Host
+	reach      *reach.Watch
+	cutOff     bool
+	lost       chan struct{}
+	probing    bool
+	nextProbe  time.Time
+}
+
+// NewDirect returns a view without upstreams. probe opens a connection to an
+// upstream.
+func NewDirect(cfg dispatch.Config, probe func(ctx context.Context, address string) error) *Direct {
+	return &Direct{
+		probe: probe, log: logging.For("fleet"), dispatcher: dispatch.New(cfg),
+		waiting: make(map[string]chan answer), reach: reach.New(), lost: make(chan struct{}),
+	}
+}
+
+// CutOff reports whether no upstream can be reached.
+func (f *Direct) CutOff() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutOff
+}
+
+// look tries some upstreams when there is doubt that any can be reached. The
+// caller holds the lock.
+func (f *Direct) look(ctx context.Context, now time.Time) {
+	if f.probing || now.Before(f.nextProbe) || !f.cutOff && !f.reach.Doubtful() && !f.dispatcher.Still(now) {
+		return
+	}
+	f.probing, f.nextProbe = true, now.Add(probeInterval)
+	sample := f.dispatcher.Sample(probeCount)
+	go func() {
+		var tries sync.WaitGroup
+		for _, u := range sample {
+			tries.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				err := f.probe(ctx, u.Address)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.reached(u.ID, err == nil, time.Now())
+			})
+		}
+		tries.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.probing = false
+	}()
+}
+
+// reached records whether an upstream could be reached. The caller holds the
+// lock.
+func (f *Direct) reached(upstream string, ok bool, now time.Time) {
+	if ok {
+		f.reach.Heard(now)
+	} else {
+		f.reach.Failed(upstream, now)
+	}
+	_, cutOff := f.reach.CutOff()
+	if cutOff == f.cutOff {
+		return
+	}
+	f.cutOff = cutOff
+	if !cutOff {
+		f.log.WithField("upstream", upstream).Info("an upstream can be reached again")
+		return
+	}
+	f.log.WithField("upstream", upstream).Warn("no upstream can be reached; callers are sent to other entries")
+	close(f.lost)
+	f.lost = make(chan struct{})
+	f.deliver(f.dispatcher.RefuseAll(func() *problem.Problem { return f.elsewhere(now) }))
 }
 
-// NewDirect returns a view without upstreams.
-func NewDirect(cfg dispatch.Config) *Direct {
-	return &Direct{dispatcher: dispatch.New(cfg), waiting: make(map[string]chan answer)}
+// elsewhere refuses a request that another entry can take once the balancer has
+// noticed that this one is not ready.
+func (f *Direct) elsewhere(now time.Time) *problem.Problem {
+	since, _ := f.reach.CutOff()
+	return problem.New(problem.ReasonEntryCutOff, "").WithRetryAfter(max(leastReturn, since.Add(rotation).Sub(now)))
 }
 
 // Run expires waiting requests until ctx ends.
@@ -40,6 +135,9 @@
 			return
 		case now := <-tick.C:
 			f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.Tick(now) })
+			f.mu.Lock()
+			f.look(ctx, now)
+			f.mu.Unlock()
 		}
 	}
 }
@@ -48,13 +146,18 @@
 func (f *Direct) step(event func(*dispatch.Dispatcher) []dispatch.Decision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, d := range event(f.dispatcher) {
-		f.waiting[d.ID] <- directAnswer(d)
+	f.deliver(event(f.dispatcher))
+}
+
+// deliver tells the waiting requests what was decided. The caller holds the lock.
+func (f *Direct) deliver(decisions []dispatch.Decision) {
+	for _, d := range decisions {
+		f.waiting[d.ID] <- f.answer(d)
 		delete(f.waiting, d.ID)
 	}
 }
 
-func directAnswer(d dispatch.Decision) answer {
+func (f *Direct) answer(d dispatch.Decision) answer {
 	if d.Refusal != nil {
 		return answer{err: d.Refusal}
 	}
@@ -62,6 +165,7 @@
 	return answer{upstream: Upstream{
 		Report:  api.Report{Upstream: u.ID, FailureDomain: u.FailureDomain, Service: u.Service, Incarnation: u.Incarnation},
 		Address: u.Address,
+		Lost:    f.lost,
 	}}
 }
 
@@ -79,6 +183,10 @@
 func (f *Direct) Acquire(ctx context.Context, r scheduler.Request) (Upstream, error) {
 	granted := make(chan answer, 1)
 	f.mu.Lock()
+	if f.cutOff {
+		defer f.mu.Unlock()
+		return Upstream{}, f.elsewhere(time.Now())
+	}
 	f.waiting[r.ID] = granted
 	f.mu.Unlock()
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.Arrive(directRequest(r), time.Now()) })
@@ -113,13 +221,23 @@
 func (f *Direct) Part(requestID string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.dispatcher.Part(requestID, time.Now())
+	now := time.Now()
+	f.reach.Heard(now)
+	f.dispatcher.Part(requestID, now)
 }
 
 // Release gives back the upstream of a request after an attempt.
 func (f *Direct) Release(requestID string, failure problem.Reason) {
+	now, kind := time.Now(), failureOf(failure)
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision {
-		return d.Ended(requestID, failureOf(failure), time.Now())
+		switch kind {
+		case dispatch.FailureBroken:
+		case dispatch.FailureUnreachable:
+			f.reached(requestID, false, now)
+		default:
+			f.reached(requestID, true, now)
+		}
+		return d.Ended(requestID, kind, now)
 	})
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -52,6 +52,9 @@
 	Entry string
 	// Virtual is the organisation's virtual time.
 	Virtual float64
+	// Lost is closed when the entry finds that it can't reach any upstream. It may
+	// be nil.
+	Lost <-chan struct{}
 }
 
 // Fleet is an entry's view of its upstreams.
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -38,7 +38,10 @@
 	// stepInterval is the time between two steps of a round.
 	stepInterval = 20 * time.Millisecond
 	// callTimeout bounds a call of an agent; the next try goes to the engine.
-	callTimeout = 150 * time.Millisecond
+	callTimeout = 200 * time.Millisecond
+	// orderTimeout bounds an order to the agent's own rank, so that its agent can
+	// still answer that it has no answer.
+	orderTimeout = 100 * time.Millisecond
 	// prepareTimeout bounds the copying of experts.
 	prepareTimeout = 3 * time.Second
 	// armTimeout bounds the arming, during which a pass may be held.
@@ -294,14 +297,16 @@
 		}
 		r.silent.mark(cmd.Rank, time.Now())
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return a.cfg.Direct(m.Engine).Order(ctx, cmd.Order)
 }
 
 // orderOwn gives the agent's own rank an order and reads its state after it.
 func (a *Agent) orderOwn(ctx context.Context, o holdswitch.Order) holdswitch.Result {
-	res := a.engine.Order(ctx, o)
+	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	res := a.engine.Order(orderCtx, o)
 	if reading, err := a.engine.Read(ctx); err == nil {
 		res.State = &reading.State
 	}
@@ -314,9 +319,6 @@
 	r.observe(time.Now())
 	needHeld := r.coordinator.Current() == nil
 	for rank, m := range r.members {
-		if r.silent.is(rank, time.Now()) {
-			continue
-		}
 		request := &readRequest{From: r.place, Counts: true, Held: needHeld}
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -330,7 +332,6 @@
 				err = a.call(ctx, m.Agent, pathRead, request, reply)
 			}
 			if err != nil {
-				r.silent.mark(rank, time.Now())
 				return
 			}
 			a.polled <- poll{run: r, rank: rank, reply: reply}
@@ -345,6 +346,7 @@
 		return
 	}
 	r.paces[p.rank] = p.reply.Reading.Pace
+	r.coordinator.Observe(p.rank, p.reply.Reading.State, now)
 	if p.reply.Held != nil {
 		r.held[p.rank] = p.reply.Held
 		r.assemble()
