Switch maps without sequence numbers, and bound the logs

Lines of logs were written straight to standard output, where a slow reader blocks. Ruled out: fencing (not required there); longer waits after an unanswered order (orders come up to ten seconds late). Logs wait in a bounded queue, are dropped and counted beyond. Conclusion: holds now rest only on state that was read under them.

--- a/cmd/acaciaglade-agent/main.go
+++ b/cmd/acaciaglade-agent/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "platform-agent" {
-		_ = logging.Setup(os.Stdout, logging.Config{Format: "json", Level: "info"})
+		_ = logging.Setup(logging.NewBounded(os.Stdout), logging.Config{Format: "json", Level: "info"})
 		s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 		if err == nil {
 			err = platform.RunAgent(s)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -229,14 +229,52 @@
 	}
 	if err == nil {
 		e.accounts.ended(r, nil)
+		e.logEnd(r, nil)
 		return nil
 	}
 	p := asProblem(err)
 	p.RequestID = r.ID
 	e.accounts.ended(r, p)
+	e.logEnd(r, p)
 	return p
 }
 
+// logEnd logs what became of a request, with what decided it.
+func (e *Entry) logEnd(r *pipe.Request, p *problem.Problem) {
+	now := time.Now()
+	fields := logrus.Fields{"request": r.ID, "took_ms": now.Sub(r.Received).Milliseconds(), "attempts": len(r.Tried)}
+	if r.Index != nil {
+		fields["table_version"], fields["table_age_ms"] = r.Index.Table().Version, r.IndexAge.Milliseconds()
+	}
+	if r.Service != nil {
+		fields["service"] = r.Service.Name
+	}
+	if r.Route != nil {
+		fields["route"] = r.Route.Name
+	}
+	if r.Organisation != nil {
+		fields["organisation"] = r.Organisation.Name
+	}
+	if len(r.Tried) > 0 {
+		fields["upstreams"] = r.Tried
+	}
+	if !r.FirstPart.IsZero() {
+		fields["first_part_ms"] = r.FirstPart.Sub(r.Received).Milliseconds()
+	}
+	if p == nil {
+		e.log.WithFields(fields).Info("request served")
+		return
+	}
+	fields["reason"], fields["ran"], fields["status"] = p.Reason, p.Ran, p.Status
+	if p.Detail != "" {
+		fields["detail"] = p.Detail
+	}
+	if p.RetryAfter > 0 {
+		fields["retry_after_ms"] = p.RetryAfter.Milliseconds()
+	}
+	e.log.WithFields(fields).Info("request not served")
+}
+
 // admit gives the request the table in force.
 func (e *Entry) admit(r *pipe.Request) error {
 	if e.stopping.Load() && !e.cfg.ServeWhileLeaving {
--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -38,6 +38,9 @@
 	PhaseIdle    Phase = "idle"
 	PhasePrepare Phase = "prepare"
 	PhaseHold    Phase = "hold"
+	// PhaseCheck reads every rank once the pass is held: while another coordinator
+	// holds one, nothing is armed.
+	PhaseCheck Phase = "check"
 	// PhaseArm arms all ranks but the coordinator's own, PhaseArmOwn that one.
 	PhaseArm    Phase = "arm"
 	PhaseArmOwn Phase = "arm own"
@@ -82,20 +85,19 @@
 	ended  time.Time
 	readAt time.Time
 	// ordered is true once the round's prepare was accepted, undone once a prepare
-	// that changes nothing has made all orders before it void. sequence is the
-	// rank's number since then, and while a round is undone the one by which the
-	// rank was found: a rank whose number moves on belongs to somebody else.
-	ordered  bool
-	undone   bool
-	pinned   bool
-	sequence uint64
-	// wasArmed is true when the rank was seen armed since the round's pass was
-	// held to undo it.
+	// that changes nothing has made all arming before it void.
+	ordered bool
+	undone  bool
+	// fresh is true once the rank was read since the pass of a round to undo was
+	// held, found the version that it was armed for then, 0 for none.
+	fresh bool
+	found expertmap.Version
+	// wasArmed is true when it was seen armed since then.
 	wasArmed bool
-	// freed is true once the rank was told to let the undone pass go, mine while
-	// it holds a pass for an undoing of this coordinator.
+	// freed is true once the rank was told to let the undone pass go.
 	freed bool
-	mine  bool
+	// letGo is the last pass that an order without an answer lets go.
+	letGo uint64
 }
 
 // Coordinator drives the switches of one group in one epoch.
@@ -111,10 +113,8 @@
 	margin   uint64
 	// foreign is true while a round of another coordinator is undone.
 	foreign bool
-	// holdAt is the rank at which the round's pass is held. cleared is true once no
-	// earlier order can let it go there.
-	holdAt  int
-	cleared bool
+	// holdAt is the rank at which the round's pass is held.
+	holdAt int
 	// alone is true when nobody else can have held a pass there before.
 	alone bool
 	// current is the map in force by content, nil until it is known.
@@ -125,8 +125,6 @@
 	switched int
 	undone   int
 	lost     bool
-	// yieldUntil is until when the group is left to another coordinator.
-	yieldUntil time.Time
 	// began, placed and released are when the round began, chose its pass and let
 	// it go.
 	began, placed, released time.Time
@@ -174,9 +172,8 @@
 }
 
 // chooseHold takes the rank at which the pass of a round to undo will be held: one
-// that holds nothing, so that nobody has a reason to let it go, or that is not
-// armed, so that a prepare can void the orders to let it go. It reports false when
-// there is none.
+// that holds nothing, so that nobody has a reason to let it go, and which no late
+// order lets go. It reports false when there is none.
 func (c *Coordinator) chooseHold() bool {
 	own := []int{c.holdRankOf(c.cfg.Rank), c.cfg.Rank}
 	shared := make([]int, 0, c.cfg.Ranks)
@@ -185,8 +182,8 @@
 	}
 	for i, r := range append(own, shared...) {
 		v := &c.ranks[r]
-		if v.known && !v.stale && (v.state.Held == nil || *v.state.Held == c.step && (v.mine || v.state.Armed == nil)) {
-			c.holdAt, c.cleared = r, false
+		if v.known && !v.stale && v.letGo < c.step && (v.state.Held == nil || *v.state.Held == c.step && v.state.Armed == nil) {
+			c.holdAt = r
 			c.alone = i < len(own) && v.state.Held == nil && v.state.Age == 0
 			return true
 		}
@@ -235,10 +232,10 @@
 	}
 	v.state, v.known, v.stale, v.readAt = s, true, false, now
 	c.highest = max(c.highest, s.Map, s.Prepared)
-	if !v.pinned {
-		v.pinned = true
-		if c.phase == PhaseUndo {
-			v.sequence = s.Sequence
+	if !v.fresh {
+		v.fresh, v.found = true, 0
+		if s.Armed != nil {
+			v.found = s.Armed.Version
 		}
 	}
 	if s.Armed != nil {
@@ -303,19 +300,19 @@
 	}
 	switch cmd.Order.Kind {
 	case OrderPrepare:
-		c.prepared(cmd.Rank, &cmd.Order, res, now)
+		c.prepared(cmd.Rank, &cmd.Order, res)
 	case OrderHold:
 		c.held(res, now)
 	case OrderArm:
 		if res.Verdict == Refused && (c.phase == PhaseArm || c.phase == PhaseArmOwn) && cmd.Order.Version == c.version {
 			c.undo("arm refused", cmd.Rank, now)
 		}
-	case OrderDisarm:
-		c.refused(cmd.Rank, res, now)
 	case OrderGo:
-		if c.phase == PhaseFree && res.Verdict != Unanswered {
-			v.freed, v.mine = true, false
+		if res.Verdict == Unanswered {
+			v.letGo = max(v.letGo, cmd.Order.Step)
+			return
 		}
+		v.freed = v.freed || c.phase == PhaseFree
 	}
 }
 
@@ -339,49 +336,21 @@
 	return v.known && !v.stale
 }
 
-func (c *Coordinator) prepared(rank int, o *Order, res Result, now time.Time) {
+func (c *Coordinator) prepared(rank int, o *Order, res Result) {
 	v := &c.ranks[rank]
-	switch c.phase {
-	case PhaseSecure:
-		if rank == c.holdAt && res.Verdict == Done && res.State != nil {
-			c.cleared, v.sequence = true, res.State.Sequence
-		}
-	case PhaseUndo:
-		if res.Verdict == Done && res.State != nil {
-			v.undone, v.sequence = true, res.State.Sequence
-			return
-		}
+	switch {
+	case c.phase == PhaseUndo:
+		v.undone = v.undone || res.Verdict == Done
 		v.wasArmed = v.wasArmed || res.Verdict == Refused
-		c.refused(rank, res, now)
-	case PhasePrepare:
-		if o.Version != c.version {
-			return
-		}
-		switch {
-		case res.Verdict == Done && res.State != nil:
-			v.ordered, v.sequence = true, res.State.Sequence
-		case res.Verdict == Refused:
-			c.note("prepare refused", rank)
-			c.forget()
-		}
-	}
-}
-
-// refused begins an undoing anew when a rank has refused an order of it because
-// somebody else has given that rank a prepare.
-func (c *Coordinator) refused(rank int, res Result, now time.Time) {
-	v := &c.ranks[rank]
-	if c.phase == PhaseUndo && res.Verdict == Refused && v.pinned && !v.stale && v.state.Sequence != v.sequence {
-		c.note("another coordinator gives orders", rank)
-		c.yieldUntil = now.Add(time.Duration(1+c.cfg.Rank) * yieldTime)
+	case c.phase != PhasePrepare || o.Version != c.version:
+	case res.Verdict == Done:
+		v.ordered = true
+	case res.Verdict == Refused:
+		c.note("prepare refused", rank)
 		c.forget()
 	}
 }
 
-// yieldTime is how long the lowest rank leaves the group to another coordinator
-// that undoes the same round; the others leave it for a multiple.
-const yieldTime = 150 * time.Millisecond
-
 func (c *Coordinator) held(res Result, now time.Time) {
 	switch {
 	case c.phase == PhaseHold && res.Verdict == Refused:
@@ -389,10 +358,9 @@
 		c.margin = min(c.margin+1, maxMargin)
 		c.place()
 	case c.phase == PhaseSecure && res.Verdict == Refused:
-		// The pass has begun, or somebody else has given the rank a prepare.
+		// The pass has begun.
 		c.forget()
 	case c.phase == PhaseSecure && res.Verdict == Done:
-		c.ranks[c.holdAt].mine = true
 		c.beginUndo(now)
 	}
 }
@@ -406,7 +374,8 @@
 	for r := range c.ranks {
 		step = max(step, c.ranks[r].state.Step)
 	}
-	c.step = step + c.margin
+	// An order to let an earlier pass go may still be on its way.
+	c.step = max(step+c.margin, c.step+1)
 }
 
 // undoTimeout is how long an undoing may take before it begins anew from what the
@@ -420,7 +389,8 @@
 	c.spare, c.foreign = nil, false
 	for r := range c.ranks {
 		v := &c.ranks[r]
-		v.undone, v.freed, v.pinned, v.wasArmed = false, false, true, v.state.Armed != nil
+		v.undone, v.freed, v.fresh, v.found = false, false, true, c.version
+		v.wasArmed = v.state.Armed != nil
 	}
 	c.enter(PhaseUndo, now.Add(undoTimeout))
 }
@@ -442,7 +412,7 @@
 func (c *Coordinator) beginUndo(now time.Time) {
 	for r := range c.ranks {
 		v := &c.ranks[r]
-		v.undone, v.freed, v.pinned, v.wasArmed = false, false, false, false
+		v.undone, v.freed, v.fresh, v.wasArmed = false, false, false, false
 		v.stale, v.ended = true, now
 	}
 	c.enter(PhaseUndo, now.Add(undoTimeout))
@@ -456,7 +426,7 @@
 		c.ranks[r].undone = false
 	}
 	v := &c.ranks[c.holdAt]
-	v.undone, v.freed, v.sequence = true, false, v.state.Sequence
+	v.undone, v.freed = true, false
 	c.phase = PhaseFree
 }
 
--- a/pkg/expertmap/holdswitch/step.go
+++ b/pkg/expertmap/holdswitch/step.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
 )
 
 // Step returns the orders that are due. Each rank has one at a time on its way.
@@ -43,6 +41,8 @@
 			c.afterPrepare(now)
 		case PhaseHold:
 			c.afterHold(now)
+		case PhaseCheck:
+			c.afterCheck(now)
 		case PhaseArm:
 			c.afterArm(now)
 		case PhaseArmOwn:
@@ -52,7 +52,7 @@
 		case PhaseSettle:
 			c.afterSettle(now)
 		case PhaseSecure:
-			c.afterSecure(now)
+			c.undoTimedOut(c.holdAt, now)
 		case PhaseUndo:
 			c.afterUndo(now)
 		case PhaseFree:
@@ -69,7 +69,7 @@
 // prepared.
 func (c *Coordinator) yield() {
 	switch c.phase {
-	case PhaseHold, PhaseArm, PhaseArmOwn:
+	case PhaseHold, PhaseCheck, PhaseArm, PhaseArmOwn:
 	default:
 		return
 	}
@@ -104,9 +104,6 @@
 // other one may be undoing it at the same time. Ranks of other coordinators may
 // be out of reach, as one that froze has its own rank on the same host.
 func (c *Coordinator) takeOver(now time.Time) {
-	if now.Before(c.yieldUntil) {
-		return
-	}
 	left, step := false, uint64(math.MaxUint64)
 	for r := range c.ranks {
 		v := &c.ranks[r]
@@ -123,44 +120,22 @@
 			left, step = true, min(step, v.state.Armed.Step)
 		}
 	}
-	if !left {
-		return
-	}
-	c.undoForeign(step, now)
-}
-
-// owner returns the coordinator whose hold is the only one beside this one's, as
-// the ranks said after this one's was in force.
-func (c *Coordinator) owner() int {
-	owner := unknown
-	for r := range c.ranks {
-		v := &c.ranks[r]
-		if r == c.holdAt || v.stale || v.state.Held == nil {
-			continue
-		}
-		if owner != unknown || r < c.cfg.Standbys || r >= 2*c.cfg.Standbys {
-			return unknown
-		}
-		owner = r - c.cfg.Standbys
+	if left {
+		c.undoForeign(step, now)
 	}
-	return owner
 }
 
 func (c *Coordinator) afterPrepare(now time.Time) {
 	for r := range c.ranks {
 		v := &c.ranks[r]
-		if !v.ordered || v.stale || v.state.Prepared != c.version {
-			if now.After(c.deadline) {
-				c.note("prepare timed out", r)
-				c.forget()
-			}
-			return
+		if v.ordered && !v.stale && v.state.Armed == nil && v.state.Prepared == c.version {
+			continue
 		}
-		if v.state.Sequence != v.sequence || v.state.Armed != nil {
-			c.note("another coordinator gives orders", r)
+		if now.After(c.deadline) {
+			c.note("prepare timed out", r)
 			c.forget()
-			return
 		}
+		return
 	}
 	c.margin = c.cfg.Margin
 	c.place()
@@ -178,12 +153,40 @@
 func (c *Coordinator) afterHold(now time.Time) {
 	switch {
 	case c.holds():
-		c.enter(PhaseArm, now.Add(c.cfg.ArmTimeout))
+		for r := range c.ranks {
+			v := &c.ranks[r]
+			v.fresh, v.ended, v.stale = false, now, true
+		}
+		c.enter(PhaseCheck, now.Add(c.cfg.ArmTimeout))
 	case now.After(c.deadline):
 		c.abandon("hold timed out", c.holdAt)
 	}
 }
 
+// afterCheck arms the ranks once each was read since the pass is held, and no
+// other coordinator holds one: that one may be undoing what it found, and would
+// take this round for it.
+func (c *Coordinator) afterCheck(now time.Time) {
+	for r := range c.ranks {
+		v := &c.ranks[r]
+		switch {
+		case v.stale && now.After(c.deadline):
+			c.abandon("check timed out", r)
+			return
+		case v.stale:
+			return
+		case v.state.Prepared != c.version, v.state.Held != nil && r != c.holdAt:
+			c.abandon("another coordinator is at work", r)
+			return
+		}
+	}
+	if !c.holds() {
+		c.abandon("the hold was let go", c.holdAt)
+		return
+	}
+	c.enter(PhaseArm, now.Add(c.cfg.ArmTimeout))
+}
+
 func (c *Coordinator) afterArm(now time.Time) {
 	for r := range c.ranks {
 		if r == c.cfg.Rank || c.armed(r) {
@@ -226,10 +229,15 @@
 
 // settleTimeout is how long a pass that another coordinator holds is waited for
 // before that one counts as gone.
-const settleTimeout = time.Second
+const settleTimeout = 500 * time.Millisecond
 
 // afterSettle ends a round once its pass has begun. An idle group makes none.
 func (c *Coordinator) afterSettle(now time.Time) {
+	if c.holds() {
+		// An order to hold took effect after the one to go.
+		c.phase = PhaseGo
+		return
+	}
 	waits := false
 	for r := range c.ranks {
 		v := &c.ranks[r]
@@ -252,15 +260,7 @@
 	c.forget()
 }
 
-// afterSecure gives up when the pass could not be held.
-func (c *Coordinator) afterSecure(now time.Time) {
-	if now.After(c.deadline) {
-		c.note("undo timed out", c.holdAt)
-		c.forget()
-	}
-}
-
-// afterUndo lets the pass go on once no order of the round can take effect any
+// afterUndo lets the pass go on once no arming of the round can take effect any
 // more. The own rank of the coordinator that began the round may be left out when
 // it is out of reach: it is armed last and disarmed first, so it is not armed if
 // some other rank has never been armed. An undoing of yet another coordinator
@@ -272,6 +272,10 @@
 		switch {
 		case v.undone:
 			never = never || !v.wasArmed
+		case c.strange(v):
+			c.note("another coordinator's round", r)
+			c.forget()
+			return
 		case c.foreign && left == unknown && r < c.cfg.Standbys && r != c.cfg.Rank && c.absent(r, now):
 			left = r
 		default:
@@ -289,6 +293,20 @@
 	c.phase = PhaseFree
 }
 
+// strange reports whether a rank is armed for a round that no rank was armed for
+// when the pass had just been held. That round is not the one to undo.
+func (c *Coordinator) strange(v *rankView) bool {
+	if v.stale || !v.fresh || v.state.Armed == nil {
+		return false
+	}
+	for r := range c.ranks {
+		if c.ranks[r].fresh && c.ranks[r].found == v.state.Armed.Version {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Coordinator) undoTimedOut(rank int, now time.Time) {
 	if now.After(c.deadline) {
 		c.note("undo timed out", rank)
@@ -296,6 +314,23 @@
 	}
 }
 
+// owner returns the coordinator whose hold is the only one beside this one's, as
+// the ranks said after this one's was in force.
+func (c *Coordinator) owner() int {
+	owner := unknown
+	for r := range c.ranks {
+		v := &c.ranks[r]
+		if r == c.holdAt || v.stale || v.state.Held == nil {
+			continue
+		}
+		if owner != unknown || r < c.cfg.Standbys || r >= 2*c.cfg.Standbys {
+			return unknown
+		}
+		owner = r - c.cfg.Standbys
+	}
+	return owner
+}
+
 // afterFree ends an undone round once its pass goes on at every rank.
 func (c *Coordinator) afterFree() {
 	for r := range c.ranks {
@@ -310,99 +345,5 @@
 // frees reports whether a rank has still to be told to let the undone pass go.
 func (c *Coordinator) frees(rank int) bool {
 	v := &c.ranks[rank]
-	return v.undone && !v.freed && v.state.Held != nil && *v.state.Held == c.step
-}
-
-// due returns the next order to a rank.
-func (c *Coordinator) due(rank int, now time.Time) (Order, bool) {
-	v := &c.ranks[rank]
-	if !v.known || v.stale {
-		return Order{Kind: OrderRead}, true
-	}
-	switch c.phase {
-	case PhasePrepare:
-		return c.duePrepare(v, now)
-	case PhaseHold:
-		return Order{Kind: OrderHold, Step: c.step, Sequence: v.sequence}, rank == c.holdAt && !c.holds()
-	case PhaseSecure:
-		return c.dueSecure(rank, v)
-	case PhaseArm, PhaseArmOwn:
-		due := (rank == c.cfg.Rank) == (c.phase == PhaseArmOwn) && !c.armed(rank)
-		return Order{Kind: OrderArm, Version: c.version, Step: c.step, Sequence: v.sequence}, due
-	case PhaseGo:
-		return Order{Kind: OrderGo, Step: c.step, Sequence: v.state.Sequence}, rank == c.holdAt
-	case PhaseSettle:
-		return Order{Kind: OrderRead}, v.state.Armed != nil && now.Sub(v.readAt) >= c.cfg.ReadInterval
-	case PhaseFree:
-		// The number is that of the undoing: a rank that another coordinator has
-		// given a prepare since belongs to that one.
-		return Order{Kind: OrderGo, Step: c.step, Sequence: v.sequence}, c.frees(rank)
-	case PhaseUndo:
-		return c.dueUndo(rank, v, now)
-	default:
-		return Order{}, false
-	}
-}
-
-func (c *Coordinator) duePrepare(v *rankView, now time.Time) (Order, bool) {
-	switch {
-	case !v.ordered:
-		return Order{Kind: OrderPrepare, Version: c.version, Map: c.target, Sequence: v.state.Sequence}, true
-	case v.state.Prepared != c.version && now.Sub(v.readAt) >= c.cfg.ReadInterval:
-		return Order{Kind: OrderRead}, true
-	default:
-		return Order{}, false
-	}
-}
-
-// dueSecure holds the pass of a round to undo. Before that, a prepare that changes
-// nothing voids all orders to let it go. A rank that is armed takes none, but was
-// given one since anybody could have thought of it as undone.
-func (c *Coordinator) dueSecure(rank int, v *rankView) (Order, bool) {
-	if rank != c.holdAt {
-		return Order{}, false
-	}
-	if v.state.Armed != nil {
-		return Order{Kind: OrderHold, Step: c.step, Sequence: v.state.Sequence}, true
-	}
-	if c.cleared {
-		return Order{Kind: OrderHold, Step: c.step, Sequence: v.sequence}, true
-	}
-	return c.void(v.state.Sequence)
-}
-
-// void returns a prepare that changes nothing.
-func (c *Coordinator) void(sequence uint64) (Order, bool) {
-	filler := c.filler()
-	if filler == nil {
-		return Order{}, false
-	}
-	version := c.cfg.NewVersion(c.highest)
-	c.highest = version
-	return Order{Kind: OrderPrepare, Version: version, Map: filler.WithVersion(version), Sequence: sequence}, true
-}
-
-// dueUndo disarms a rank, and then voids every order that is still on its way.
-// The coordinator's own rank, which is armed last, is disarmed first: the round
-// may be one that it began itself before it started anew.
-func (c *Coordinator) dueUndo(rank int, v *rankView, now time.Time) (Order, bool) {
-	switch {
-	case v.undone || rank != c.cfg.Rank && !c.ranks[c.cfg.Rank].undone:
-		return Order{}, false
-	case v.state.Armed != nil && v.state.Armed.Step < c.step:
-		// The hold does not cover an earlier pass; it has to begin first.
-		return Order{Kind: OrderRead}, now.Sub(v.readAt) >= c.cfg.ReadInterval
-	case v.state.Armed != nil:
-		return Order{Kind: OrderDisarm, Version: v.state.Armed.Version, Sequence: v.sequence}, true
-	default:
-		return c.void(v.sequence)
-	}
-}
-
-// filler returns a map that ranks can prepare without copying anything.
-func (c *Coordinator) filler() *expertmap.Map {
-	if m := c.Current(); m != nil {
-		return m
-	}
-	return c.spare
+	return v.undone && !v.freed && (v.stale || v.state.Held != nil && *v.state.Held == c.step)
 }
--- a/pkg/expertmap/holdswitch/types.go
+++ b/pkg/expertmap/holdswitch/types.go
@@ -20,8 +20,6 @@
 	Epoch       uint64
 	// Open is false while the group runs nothing.
 	Open bool
-	// Sequence is the number of prepares that the rank has begun.
-	Sequence uint64
 	// Step is the last pass that was begun.
 	Step uint64
 	// Map is the version in force, Prepared the version that is copied whole, 0
@@ -57,9 +55,8 @@
 	Step    uint64            `json:"step,omitempty"`
 	// Map is the map to prepare.
 	Map *expertmap.Map `json:"map,omitempty"`
-	// Epoch and Sequence are those of the rank for which the order is meant.
-	Epoch    uint64 `json:"epoch,omitempty"`
-	Sequence uint64 `json:"sequence,omitempty"`
+	// Epoch is that of the group for which the order is meant.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Fence is the fencing token, for engines that check it.
 	Fence uint64 `json:"fence,omitempty"`
 }
