Ask and order many ranks through other agents

Ruled out: the planner (skew 4.4 to 1.2 in one change, 5 to 10 ms); counts of all ranks (one rank's and all ranks' popularity agree within 5 in 100). Change: orders and surveys go to about as many agents as each passes them on to; picks come from twelve ranks as differences, packed; an agent waits for its copy before it answers; ranks are read again only once the pass of a switch has begun; copies are bounded by time; a switch is placed as far ahead as arming takes; holds rest on what was read since the coordinator began.

--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -80,10 +80,14 @@
 	// since when it could not be read.
 	stale  bool
 	missed time.Time
-	// busy is true while an order is on its way, ended when the latest one ended.
-	busy   bool
-	ended  time.Time
+	// busy is true while an order is on its way, which was sent at sent. ended is
+	// when the latest one ended.
+	busy  bool
+	sent  time.Time
+	ended time.Time
+	// readAt is when the state was read, asOf how old it may be.
 	readAt time.Time
+	asOf   time.Time
 	// ordered is true once the round's prepare was accepted, undone once a prepare
 	// that changes nothing has made all arming before it void.
 	ordered bool
@@ -105,6 +109,8 @@
 	cfg   Config
 	ranks []rankView
 
+	// since is when the coordinator was first told of a rank.
+	since    time.Time
 	phase    Phase
 	deadline time.Time
 	target   *expertmap.Map
@@ -120,15 +126,21 @@
 	// current is the map in force by content, nil until it is known.
 	current *expertmap.Map
 	// spare is a map that the ranks within reach can prepare without copying.
-	spare    *expertmap.Map
-	highest  expertmap.Version
-	switched int
-	undone   int
-	lost     bool
+	spare *expertmap.Map
+	// voidVersion and voidMap are what an undoing has ranks prepare, 0 for none yet.
+	voidVersion expertmap.Version
+	voidMap     *expertmap.Map
+	highest     expertmap.Version
+	switched    int
+	undone      int
+	lost        bool
 	// began, placed and released are when the round began, chose its pass and let
 	// it go.
 	began, placed, released time.Time
-	events                  []Event
+	// passTime is the usual time of a pass, armTime how long the latest round was
+	// at arming.
+	passTime, armTime time.Duration
+	events            []Event
 }
 
 // New returns a coordinator that knows nothing of its ranks.
@@ -150,6 +162,9 @@
 // Lost reports whether the group has left the coordinator's epoch.
 func (c *Coordinator) Lost() bool { return c.lost }
 
+// PassTime returns the usual time of a pass, 0 while it is unknown.
+func (c *Coordinator) PassTime() time.Duration { return c.passTime }
+
 // Events returns and clears what happened since the last call.
 func (c *Coordinator) Events() []Event {
 	events := c.events
@@ -172,25 +187,35 @@
 }
 
 // chooseHold takes the rank at which the pass of a round to undo will be held: one
-// that holds nothing, so that nobody has a reason to let it go, and which no late
-// order lets go. It reports false when there is none.
+// that held nothing since this coordinator began, so that nobody has a reason to let
+// it go, and which no late order lets go. Once every rank holds, it takes one that
+// is not armed. It reports false when there is none.
 func (c *Coordinator) chooseHold() bool {
-	own := []int{c.holdRankOf(c.cfg.Rank), c.cfg.Rank}
-	shared := make([]int, 0, c.cfg.Ranks)
+	ranks := []int{c.holdRankOf(c.cfg.Rank), c.cfg.Rank}
 	for r := c.cfg.Ranks - 1; r >= 2*c.cfg.Standbys; r-- {
-		shared = append(shared, r)
+		ranks = append(ranks, r)
 	}
-	for i, r := range append(own, shared...) {
-		v := &c.ranks[r]
-		if v.known && !v.stale && v.letGo < c.step && (v.state.Held == nil || *v.state.Held == c.step && v.state.Armed == nil) {
-			c.holdAt = r
-			c.alone = i < len(own) && v.state.Held == nil && v.state.Age == 0
-			return true
+	for _, held := range []bool{false, true} {
+		for i, r := range ranks {
+			v := &c.ranks[r]
+			if !v.known || v.stale || v.letGo >= c.step || v.asOf.Before(c.since) {
+				// The next reading may tell of a later state.
+				v.stale = v.stale || v.asOf.Before(c.since)
+				continue
+			}
+			if v.state.Held == nil || held && *v.state.Held == c.step && v.state.Armed == nil {
+				c.holdAt = r
+				c.alone = i < ownHolds && v.state.Held == nil && v.state.Age == 0
+				return true
+			}
 		}
 	}
 	return false
 }
 
+// ownHolds is at how many ranks no other coordinator holds passes.
+const ownHolds = 2
+
 // Uses returns the version that all ranks use, and whether they are known and
 // agree.
 func (c *Coordinator) Uses() (expertmap.Version, bool) {
@@ -230,7 +255,13 @@
 		// The state is older than the latest order.
 		return
 	}
-	v.state, v.known, v.stale, v.readAt = s, true, false, now
+	if rank == c.cfg.Rank && v.known {
+		c.timePass(s.Step-v.state.Step, now.Sub(v.readAt))
+	}
+	v.state, v.known, v.stale, v.readAt, v.asOf = s, true, false, now, now.Add(-s.Age)
+	if c.since.IsZero() {
+		c.since = now
+	}
 	c.highest = max(c.highest, s.Map, s.Prepared)
 	if !v.fresh {
 		v.fresh, v.found = true, 0
@@ -286,8 +317,14 @@
 	}
 	switch {
 	case res.State != nil:
-		v.stale = v.stale || cmd.Order.Kind != OrderRead
-		c.Observe(cmd.Rank, *res.State, now)
+		s := *res.State
+		if cmd.Order.Kind == OrderRead {
+			// The rank may have been read as soon as it was asked.
+			s.Age = max(s.Age, now.Sub(v.sent))
+		} else {
+			v.stale = true
+		}
+		c.Observe(cmd.Rank, s, now)
 	case res.Verdict == Done && v.obey(&cmd.Order):
 	default:
 		v.stale = true
@@ -341,7 +378,10 @@
 	switch {
 	case c.phase == PhaseUndo:
 		v.undone = v.undone || res.Verdict == Done
-		v.wasArmed = v.wasArmed || res.Verdict == Refused
+		if res.Verdict == Refused {
+			v.wasArmed = true
+			c.voidVersion = 0
+		}
 	case c.phase != PhasePrepare || o.Version != c.version:
 	case res.Verdict == Done:
 		v.ordered = true
@@ -365,6 +405,35 @@
 	}
 }
 
+// passWeight is the weight of the latest reading in the usual time of a pass.
+const passWeight = 0.1
+
+// timePass takes the passes between two readings of the own rank.
+func (c *Coordinator) timePass(passes uint64, elapsed time.Duration) {
+	if passes == 0 || passes > maxPasses {
+		return
+	}
+	pass := elapsed / time.Duration(passes)
+	if c.passTime == 0 {
+		c.passTime = pass
+	}
+	c.passTime += time.Duration(passWeight * float64(pass-c.passTime))
+}
+
+// maxPasses is how many passes at most lie between two readings that tell the time
+// of one: a rank that was not read for long tells little.
+const maxPasses = 100
+
+// distance returns how many passes ahead a switch is placed, so that the ranks are
+// armed before it is due.
+func (c *Coordinator) distance() uint64 {
+	if c.passTime <= 0 {
+		return c.cfg.Margin
+	}
+	passes := 1 + uint64(c.armTime/c.passTime)
+	return min(maxMargin, max(c.cfg.Margin, passes))
+}
+
 // maxMargin is the furthest that a switch is placed ahead, in passes.
 const maxMargin = 12
 
@@ -386,7 +455,7 @@
 func (c *Coordinator) undo(why string, rank int, now time.Time) {
 	c.note("undo: "+why, rank)
 	c.undone++
-	c.spare, c.foreign = nil, false
+	c.spare, c.foreign, c.voidVersion = nil, false, 0
 	for r := range c.ranks {
 		v := &c.ranks[r]
 		v.undone, v.freed, v.fresh, v.found = false, false, true, c.version
@@ -404,7 +473,7 @@
 	}
 	c.note("undo: found an unfinished round", wholeGroup)
 	c.undone++
-	c.spare = nil
+	c.spare, c.voidVersion = nil, 0
 	c.enter(PhaseSecure, now.Add(undoTimeout))
 }
 
--- a/pkg/expertmap/holdswitch/due.go
+++ b/pkg/expertmap/holdswitch/due.go
@@ -23,7 +23,7 @@
 	case PhaseGo:
 		return Order{Kind: OrderGo, Step: c.step}, rank == c.holdAt
 	case PhaseSettle:
-		return Order{Kind: OrderRead}, v.state.Armed != nil && now.Sub(v.readAt) >= c.cfg.ReadInterval
+		return Order{Kind: OrderRead}, c.dueSettle(rank, now)
 	case PhaseFree:
 		return Order{Kind: OrderGo, Step: c.step}, c.frees(rank)
 	case PhaseUndo:
@@ -33,6 +33,14 @@
 	}
 }
 
+// dueSettle reports whether a rank should be read to see it use the new map. The
+// others are only read once the pass has begun at the coordinator's own rank.
+func (c *Coordinator) dueSettle(rank int, now time.Time) bool {
+	v, own := &c.ranks[rank], &c.ranks[c.cfg.Rank]
+	begun := rank == c.cfg.Rank || own.state.Step >= c.step
+	return begun && v.state.Armed != nil && now.Sub(v.readAt) >= c.cfg.ReadInterval
+}
+
 // dueHold reports whether the pass has still to be held at a rank. An undoing
 // holds it anew whatever is known.
 func (c *Coordinator) dueHold(rank int) bool {
@@ -67,15 +75,19 @@
 	}
 }
 
-// void returns a prepare that changes nothing.
+// void returns a prepare that changes nothing, the same for all ranks that accept
+// its version.
 func (c *Coordinator) void() (Order, bool) {
 	filler := c.filler()
 	if filler == nil {
 		return Order{}, false
 	}
-	version := c.cfg.NewVersion(c.highest)
-	c.highest = version
-	return Order{Kind: OrderPrepare, Version: version, Map: filler.WithVersion(version)}, true
+	if c.voidVersion == 0 {
+		c.voidVersion = c.cfg.NewVersion(c.highest)
+		c.highest = c.voidVersion
+		c.voidMap = filler.WithVersion(c.voidVersion)
+	}
+	return Order{Kind: OrderPrepare, Version: c.voidVersion, Map: c.voidMap}, true
 }
 
 // filler returns a map that ranks can prepare without copying anything.
--- a/pkg/expertmap/holdswitch/step.go
+++ b/pkg/expertmap/holdswitch/step.go
@@ -21,7 +21,7 @@
 		if !ok {
 			continue
 		}
-		v.busy = true
+		v.busy, v.sent = true, now
 		o.Epoch, o.Fence = c.cfg.Epoch, uint64(c.highest)
 		commands = append(commands, Command{Rank: r, Order: o})
 	}
@@ -137,7 +137,7 @@
 		}
 		return
 	}
-	c.margin = c.cfg.Margin
+	c.margin = c.distance()
 	c.place()
 	c.holdAt = c.holdRankOf(c.cfg.Rank)
 	c.placed = now
@@ -257,6 +257,7 @@
 		Prepare: c.placed.Sub(c.began), Arm: c.released.Sub(c.placed), Settle: now.Sub(c.released),
 	})
 	c.current = c.target
+	c.armTime = c.released.Sub(c.placed)
 	c.forget()
 }
 
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -27,9 +27,8 @@
 	Shapes Shapes
 	// HTTP calls other agents.
 	HTTP *http.Client
-	// PollInterval is the time between two readings of the counts.
-	PollInterval time.Duration
-	// Bounds limit one change of the map.
+	// Bounds limit one change of the map. MaxNew and MaxCopies follow from the
+	// engine.
 	Bounds plan.Bounds
 }
 
@@ -37,11 +36,6 @@
 const (
 	// stepInterval is the time between two steps of a round.
 	stepInterval = 20 * time.Millisecond
-	// callTimeout bounds a call of an agent; the next try goes to the engine.
-	callTimeout = 200 * time.Millisecond
-	// orderTimeout bounds an order to the agent's own rank, so that its agent can
-	// still answer that it has no answer.
-	orderTimeout = 100 * time.Millisecond
 	// prepareTimeout bounds the copying of experts.
 	prepareTimeout = 3 * time.Second
 	// armTimeout bounds the arming, during which a pass may be held.
@@ -49,10 +43,20 @@
 	// absentAfter is how long a rank must stay without an answer to count as out
 	// of reach.
 	absentAfter = 200 * time.Millisecond
-	// silentFor is how long an agent that did not answer is not asked again.
-	silentFor = time.Second
-	// margin is how many passes ahead a switch is placed.
+	// readInterval is the time between two readings of a rank that copies or waits
+	// for a pass.
+	readInterval = 50 * time.Millisecond
+	// margin is how many passes ahead a switch is placed at least.
 	margin = 2
+	// ownInterval is the time between two readings of the own rank by an agent that
+	// may coordinate, idleInterval by any other.
+	ownInterval  = 100 * time.Millisecond
+	idleInterval = time.Second
+	// membersInterval is the time between two readings of the group's members while
+	// some are missing.
+	membersInterval = 500 * time.Millisecond
+	// storeTimeout bounds a call of the platform's store.
+	storeTimeout = time.Second
 )
 
 // Agent is the process's part in its group.
@@ -61,59 +65,50 @@
 	engine Engine
 	http   *http.Client
 	log    *logrus.Entry
+	silent silence
 
 	mu       sync.Mutex
 	election *election
 	place    Place
+	// counted is what each asker has been told of the own rank's counts.
+	counted map[int]Counts
+	board   *Board
+	boardAt time.Time
 
-	results chan answered
-	polled  chan poll
+	results chan result
+	told    chan telling
 	run     *round
 }
 
-// answered is the result of a command.
-type answered struct {
+// result is the result of a command.
+type result struct {
 	run *round
 	cmd holdswitch.Command
 	res holdswitch.Result
 }
 
-// poll is what one rank told.
-type poll struct {
-	run   *round
-	rank  int
-	reply *readReply
-}
-
-// round is a coordinator's work in one epoch.
-type round struct {
-	place       Place
-	coordinator *holdswitch.Coordinator
-	members     map[int]Member
-	size        expertmap.Size
-	shape       Shape
-	popularity  *popularity
-	last        map[int]*Counts
-	// batch is the picks that the ranks have told of since the last poll began.
-	batch       [][]float64
-	told        int
-	paces       []float64
-	held        map[int]*Held
-	nextPoll    time.Time
-	nextMembers time.Time
-	quietUntil  time.Time
-	polls       int
-	silent      silence
+// telling is what a rank told when it was asked without an order.
+type telling struct {
+	run    *round
+	asked  time.Time
+	answer answer
 }
 
 // New returns an agent.
 func New(cfg Config) *Agent {
 	return &Agent{
-		cfg: cfg, engine: cfg.Engine, http: cfg.HTTP, log: logging.For("group"),
-		results: make(chan answered, 256), polled: make(chan poll, 256),
+		cfg: cfg, engine: cfg.Engine, http: cfg.HTTP, log: logging.For("group"), counted: make(map[int]Counts),
+		results: make(chan result, 256), told: make(chan telling, 256),
 	}
 }
 
+// ownPlace returns where the agent's own rank stands.
+func (a *Agent) ownPlace() Place {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.place
+}
+
 // hear records a question of another agent of the same group.
 func (a *Agent) hear(from Place) {
 	a.mu.Lock()
@@ -137,13 +132,13 @@
 				a.run.coordinator.Result(r.cmd, r.res, time.Now())
 				a.step(ctx, time.Now())
 			}
-		case p := <-a.polled:
-			if p.run == a.run && a.run != nil {
-				a.take(p, time.Now())
+		case t := <-a.told:
+			if t.run == a.run && a.run != nil {
+				a.take(t, time.Now())
 			}
 		case now := <-tick.C:
 			if !now.Before(nextRead) {
-				nextRead = now.Add(a.readInterval())
+				nextRead = now.Add(a.ownInterval())
 				a.locate(ctx, now)
 			}
 			a.step(ctx, now)
@@ -151,13 +146,13 @@
 	}
 }
 
-// readInterval is the time between two readings of the agent's own rank. Only
+// ownInterval is the time between two readings of the agent's own rank. Only
 // ranks that may coordinate need to look often.
-func (a *Agent) readInterval() time.Duration {
+func (a *Agent) ownInterval() time.Duration {
 	if a.place.Rank < standbys {
-		return 100 * time.Millisecond
+		return ownInterval
 	}
-	return time.Second
+	return idleInterval
 }
 
 // locate reads the agent's own rank and begins or ends the coordination.
@@ -166,6 +161,7 @@
 	defer cancel()
 	reading, err := a.engine.Read(ctx)
 	if err != nil {
+		a.log.WithError(err).Debug("own rank not read")
 		return
 	}
 	a.mu.Lock()
@@ -179,11 +175,12 @@
 	case a.run != nil && (a.run.place != a.place || a.run.coordinator.Lost() || !coordinates):
 		a.log.WithFields(logrus.Fields{"epoch": a.run.place.Epoch, "rank": a.place.Rank}).Info("no longer coordinating")
 		a.run = nil
+		a.publish(nil, now)
 	case a.run == nil && coordinates && a.place.Ranks > 1:
 		a.begin(ctx, now)
 	}
 	if a.run != nil {
-		a.run.coordinator.Observe(a.place.Rank, reading.State, now)
+		a.run.coordinator.Observe(a.place.Rank, reading.State, time.Now())
 	}
 }
 
@@ -195,19 +192,11 @@
 		return
 	}
 	size := expertmap.Size{Ranks: a.place.Ranks, Layers: shape.Layers, Experts: shape.Experts, Slots: shape.Slots}
-	if size.Check() != nil {
+	if err := size.Check(); err != nil {
+		a.log.WithError(err).Warn("the model does not fit the group; its maps are left alone")
 		return
 	}
-	a.run = &round{
-		place: a.place, size: size, shape: shape, popularity: newPopularity(size),
-		last: make(map[int]*Counts), held: make(map[int]*Held), paces: make([]float64, size.Ranks), members: make(map[int]Member),
-		coordinator: holdswitch.New(holdswitch.Config{
-			Rank: a.place.Rank, Ranks: a.place.Ranks, Epoch: a.place.Epoch, Margin: margin,
-			Standbys: standbys, AbsentAfter: absentAfter,
-			PrepareTimeout: prepareTimeout, ArmTimeout: armTimeout, ReadInterval: 50 * time.Millisecond,
-			NewVersion: newVersion(a.place.Rank),
-		}),
-	}
+	a.run = newRound(a.place, size, shape)
 	a.log.WithFields(logrus.Fields{"epoch": a.place.Epoch, "rank": a.place.Rank, "ranks": a.place.Ranks}).Info("coordinating")
 }
 
@@ -233,20 +222,15 @@
 	if r == nil {
 		return
 	}
-	if len(r.members) < r.size.Ranks && !now.Before(r.nextMembers) {
-		r.nextMembers = now.Add(500 * time.Millisecond)
-		a.findMembers(ctx, r)
-	}
 	if len(r.members) < r.size.Ranks {
+		if !now.Before(r.nextMembers) {
+			r.nextMembers = now.Add(membersInterval)
+			a.findMembers(ctx, r)
+		}
 		return
 	}
-	if !now.Before(r.nextPoll) {
-		r.nextPoll = now.Add(a.cfg.PollInterval)
-		a.pollRanks(ctx, r)
-	}
-	for _, cmd := range r.coordinator.Step(now) {
-		go a.give(ctx, r, cmd)
-	}
+	a.survey(ctx, r, now)
+	a.give(ctx, r, r.coordinator.Step(now))
 	for _, e := range r.coordinator.Events() {
 		a.log.WithFields(logrus.Fields{
 			"what": e.What, "version": e.Version, "step": e.Step, "rank": e.Rank,
@@ -256,7 +240,7 @@
 }
 
 func (a *Agent) findMembers(ctx context.Context, r *round) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	list, err := a.cfg.Members.Members(ctx, r.place.Group)
 	if err != nil {
@@ -268,206 +252,66 @@
 	}
 }
 
-// give gives an order to a rank through its agent, or straight to its engine when
-// the agent does not answer. Orders to hold a pass and let it go are always given
-// straight: whoever takes over must reach the rank that holds.
-func (a *Agent) give(ctx context.Context, r *round, cmd holdswitch.Command) {
-	res := a.deliver(ctx, r, cmd)
-	if res.Verdict == holdswitch.Unanswered {
-		a.log.WithFields(logrus.Fields{"order": cmd.Order.Kind, "rank": cmd.Rank, "verdict": res.Verdict, "version": cmd.Order.Version, "step": cmd.Order.Step}).Warn("rank did not answer an order")
-	}
-	a.results <- answered{run: r, cmd: cmd, res: res}
-}
-
-func (a *Agent) deliver(ctx context.Context, r *round, cmd holdswitch.Command) holdswitch.Result {
-	m := r.members[cmd.Rank]
-	if cmd.Rank == r.place.Rank {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return a.orderOwn(ctx, cmd.Order)
-	}
-	straight := cmd.Order.Kind == holdswitch.OrderHold || cmd.Order.Kind == holdswitch.OrderGo
-	if !straight && !r.silent.is(cmd.Rank, time.Now()) {
-		var res holdswitch.Result
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		err := a.call(callCtx, m.Agent, pathOrder, &orderRequest{From: r.place, Order: cmd.Order}, &res)
-		if err == nil {
-			return res
+// give gives orders to ranks, the same order to many through others. Orders to
+// hold a pass and let it go are always given straight: whoever takes over must
+// reach the rank that holds.
+func (a *Agent) give(ctx context.Context, r *round, commands []holdswitch.Command) {
+	for _, batch := range batches(commands) {
+		q, err := newAsk(r.place, batch[0].Order)
+		if err != nil {
+			a.log.WithError(err).Error("an order could not be packed; it is given again")
+			continue
 		}
-		r.silent.mark(cmd.Rank, time.Now())
-	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	return a.cfg.Direct(m.Engine).Order(ctx, cmd.Order)
-}
-
-// orderOwn gives the agent's own rank an order and reads its state after it.
-func (a *Agent) orderOwn(ctx context.Context, o holdswitch.Order) holdswitch.Result {
-	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	res := a.engine.Order(orderCtx, o)
-	if reading, err := a.engine.Read(ctx); err == nil {
-		res.State = &reading.State
-	}
-	return res
-}
-
-// pollRanks asks ranks what they have counted.
-func (a *Agent) pollRanks(ctx context.Context, r *round) {
-	r.polls++
-	r.observe(time.Now())
-	needHeld := r.coordinator.Current() == nil
-	for rank, m := range r.members {
-		request := &readRequest{From: r.place, Counts: true, Held: needHeld}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			var reply *readReply
-			var err error
-			if rank == r.place.Rank {
-				reply, err = a.read(ctx, request)
-			} else {
-				reply = &readReply{}
-				err = a.call(ctx, m.Agent, pathRead, request, reply)
-			}
-			if err != nil {
-				return
+		byRank := make(map[int]holdswitch.Command, len(batch))
+		var others []target
+		for _, cmd := range batch {
+			byRank[cmd.Rank] = cmd
+			t := r.target(cmd.Rank)
+			switch {
+			case cmd.Rank == r.place.Rank:
+				go func() {
+					out := a.answerOwn(ctx, &q)
+					out.Rank = t.Rank
+					a.finish(r, cmd, out)
+				}()
+			case cmd.Order.Kind == holdswitch.OrderHold || cmd.Order.Kind == holdswitch.OrderGo:
+				go func() { a.finish(r, cmd, a.orderStraight(ctx, cmd.Order, t)) }()
+			default:
+				others = append(others, t)
 			}
-			a.polled <- poll{run: r, rank: rank, reply: reply}
-		}()
-	}
-}
-
-// take takes what a rank told, and plans once all have told.
-func (a *Agent) take(p poll, now time.Time) {
-	r := p.run
-	if p.reply.Reading.Place != (Place{Group: r.place.Group, Epoch: r.place.Epoch, Rank: p.rank, Ranks: r.place.Ranks}) {
-		return
-	}
-	r.paces[p.rank] = p.reply.Reading.Pace
-	r.coordinator.Observe(p.rank, p.reply.Reading.State, now)
-	if p.reply.Held != nil {
-		r.held[p.rank] = p.reply.Held
-		r.assemble()
-	}
-	if c := p.reply.Counts; c != nil && c.Epoch == r.place.Epoch && len(c.Counts) == r.size.Layers*r.size.Experts {
-		if last := r.last[p.rank]; last != nil {
-			r.add(c, last)
-		}
-		r.last[p.rank] = c
-	}
-	if r.told >= r.size.Ranks {
-		r.observe(now)
-		a.plan(r, now)
-	}
-}
-
-// observe hands the batch to the popularity.
-func (r *round) observe(now time.Time) {
-	if r.told > 0 {
-		r.popularity.observe(r.batch, now)
-	}
-	r.batch, r.told = nil, 0
-}
-
-// add adds the picks between two readings of a rank to the batch.
-func (r *round) add(now, before *Counts) {
-	if r.batch == nil {
-		r.batch = make([][]float64, r.size.Layers)
-		for l := range r.batch {
-			r.batch[l] = make([]float64, r.size.Experts)
-		}
-	}
-	r.told++
-	for i := range now.Counts {
-		if now.Counts[i] > before.Counts[i] {
-			r.batch[i/r.size.Experts][i%r.size.Experts] += float64(now.Counts[i] - before.Counts[i])
 		}
+		a.fanOut(ctx, q, others, func(list []answer) {
+			for _, out := range list {
+				a.finish(r, byRank[out.Rank], out)
+			}
+		})
 	}
 }
 
-// assemble joins what the ranks hold to the map in force.
-func (r *round) assemble() {
-	version, ok := r.coordinator.Uses()
-	if !ok || len(r.held) < r.size.Ranks {
-		r.fill()
-		return
-	}
-	m := &expertmap.Map{Version: version, Layers: make([]expertmap.Layer, r.size.Layers)}
-	for l := range m.Layers {
-		m.Layers[l] = make(expertmap.Layer, r.size.Ranks)
-	}
-	for rank, h := range r.held {
-		if h.Epoch != r.place.Epoch || h.Version != version || len(h.Experts) != r.size.Layers {
-			return
-		}
-		for l := range m.Layers {
-			m.Layers[l][rank] = h.Experts[l]
-		}
+// finish hands on the result of a command.
+func (a *Agent) finish(r *round, cmd holdswitch.Command, out answer) {
+	res := holdswitch.Result{Verdict: out.Verdict}
+	if out.Reading != nil {
+		res.State = &out.Reading.State
 	}
-	if m.Check(r.size) == nil {
-		r.coordinator.SetCurrent(m)
-		clear(r.held)
+	if res.Verdict == holdswitch.Unanswered {
+		a.log.WithFields(logrus.Fields{"order": cmd.Order.Kind, "rank": cmd.Rank, "version": cmd.Order.Version, "step": cmd.Order.Step}).Warn("rank did not answer an order")
 	}
+	a.results <- result{run: r, cmd: cmd, res: res}
 }
 
-// fill makes a map from what the ranks that have told hold. The others get the
-// experts that are left, which one of them must hold.
-func (r *round) fill() {
-	if len(r.held) < r.size.Ranks-1 {
-		return
-	}
-	m := &expertmap.Map{Layers: make([]expertmap.Layer, r.size.Layers)}
-	for l := range m.Layers {
-		m.Layers[l] = make(expertmap.Layer, r.size.Ranks)
-		missing, held := -1, make([]bool, r.size.Experts)
-		for rank := range m.Layers[l] {
-			h := r.held[rank]
-			if h == nil || len(h.Experts) != r.size.Layers {
-				missing = rank
-				continue
-			}
-			m.Layers[l][rank] = h.Experts[l]
-			for _, e := range h.Experts[l] {
-				if e >= 0 && e < len(held) {
-					held[e] = true
-				}
-			}
+// batches groups commands with the same order.
+func batches(commands []holdswitch.Command) [][]holdswitch.Command {
+	var out [][]holdswitch.Command
+	index := make(map[holdswitch.Order]int)
+	for _, cmd := range commands {
+		i, ok := index[cmd.Order]
+		if !ok {
+			i = len(out)
+			index[cmd.Order] = i
+			out = append(out, nil)
 		}
-		for e, ok := range held {
-			if !ok && missing >= 0 {
-				m.Layers[l][missing] = append(m.Layers[l][missing], e)
-			}
-		}
-	}
-	if m.Check(r.size) == nil {
-		r.coordinator.SetFiller(m)
-	}
-}
-
-// plan proposes a better map.
-func (a *Agent) plan(r *round, now time.Time) {
-	current := r.coordinator.Current()
-	if current == nil || r.coordinator.Phase() != holdswitch.PhaseIdle || now.Before(r.quietUntil) || !r.popularity.ready() {
-		return
-	}
-	r.quietUntil = now.Add(50 * time.Millisecond)
-	speeds := make([]float64, r.size.Ranks)
-	for i, pace := range r.paces {
-		speeds[i] = 1 / max(1, pace)
-	}
-	bounds := a.cfg.Bounds
-	bounds.MaxNew = r.shape.Spare
-	m, copies := planMap(current, r.popularity, speeds, bounds)
-	if m == nil {
-		return
-	}
-	shares := r.popularity.shares()
-	if r.coordinator.Propose(m, now) {
-		a.log.WithFields(logrus.Fields{
-			"copies": copies, "skew_before": plan.Skew(current, shares, speeds, r.size),
-			"skew_after": plan.Skew(m, shares, speeds, r.size), "shifts": r.popularity.shifts,
-		}).Info("new map proposed")
+		out[i] = append(out[i], cmd)
 	}
+	return out
 }
--- /dev/null
+++ b/pkg/lockstep/ask.go
@@ -0,0 +1,288 @@
+package lockstep
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap/holdswitch"
+)
+
+// pathAsk is the path at which agents are asked.
+const pathAsk = "/v1/rank/ask"
+
+// Bounds of a question.
+const (
+	// callTimeout bounds a call of an agent, relayTimeout one that passes the
+	// question on.
+	callTimeout  = 200 * time.Millisecond
+	relayTimeout = 350 * time.Millisecond
+	// orderTimeout bounds an order to an engine, so that its agent can still answer
+	// that it has no answer.
+	orderTimeout = 100 * time.Millisecond
+	// copyPatience is how long an agent waits for its rank to copy what it was told
+	// to prepare, before it answers.
+	copyPatience = 120 * time.Millisecond
+	// copyInterval is the time between two looks meanwhile.
+	copyInterval = 10 * time.Millisecond
+)
+
+// target is a rank that is asked.
+type target struct {
+	Rank   int    `json:"rank"`
+	Agent  string `json:"agent"`
+	Engine string `json:"engine"`
+}
+
+// ask is a coordinator's question or order to some ranks.
+type ask struct {
+	From Place `json:"from"`
+	// Order is nil for a question. Its map is in Map, packed.
+	Order *holdswitch.Order `json:"order,omitempty"`
+	Map   []byte            `json:"map,omitempty"`
+	// Picks asks what each expert was chosen since the asker's last question, Held
+	// which experts the rank holds.
+	Picks bool `json:"picks,omitempty"`
+	Held  bool `json:"held,omitempty"`
+	// Ranks are asked through the agent that gets this.
+	Ranks []target `json:"ranks"`
+}
+
+// answer is what became of a question at one rank.
+type answer struct {
+	Rank    int                `json:"rank"`
+	Verdict holdswitch.Verdict `json:"verdict"`
+	// Reading is nil when the rank could not be read.
+	Reading *Reading `json:"reading,omitempty"`
+	// Picks are packed.
+	Picks []byte `json:"picks,omitempty"`
+	Held  *Held  `json:"held,omitempty"`
+}
+
+// answers is the reply to a question.
+type answers struct {
+	Answers []answer `json:"answers"`
+}
+
+// pack encodes what is too large as text.
+func pack(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	err := gob.NewEncoder(&buf).Encode(v)
+	return buf.Bytes(), errors.WithStack(err)
+}
+
+// unpack decodes what pack has encoded.
+func unpack(raw []byte, v any) error {
+	return errors.WithStack(gob.NewDecoder(bytes.NewReader(raw)).Decode(v))
+}
+
+// newAsk returns a question with an order, whose map it packs.
+func newAsk(from Place, o holdswitch.Order) (ask, error) {
+	q := ask{From: from, Order: &o}
+	if o.Map == nil {
+		return q, nil
+	}
+	packed, err := pack(o.Map.Layers)
+	q.Map, o.Map = packed, nil
+	return q, err
+}
+
+// order returns the order of a question with its map.
+func (q *ask) order() (holdswitch.Order, error) {
+	o := *q.Order
+	if len(q.Map) > 0 {
+		o.Map = &expertmap.Map{Version: o.Version}
+		if err := unpack(q.Map, &o.Map.Layers); err != nil {
+			return o, err
+		}
+	}
+	return o, nil
+}
+
+// Register adds the routes that other agents and entries call.
+func (a *Agent) Register(g *echo.Group) {
+	g.POST(pathAsk, func(c echo.Context) error {
+		var q ask
+		if err := c.Bind(&q); err != nil {
+			return c.NoContent(http.StatusBadRequest)
+		}
+		a.hear(q.From)
+		return c.JSON(http.StatusOK, &answers{Answers: a.answerAll(c.Request().Context(), &q)})
+	})
+	g.GET(PathBoard, func(c echo.Context) error {
+		board := a.Board(time.Now())
+		if board == nil {
+			return c.NoContent(http.StatusNotFound)
+		}
+		return c.JSON(http.StatusOK, board)
+	})
+}
+
+// answerAll asks all ranks of a question at once.
+func (a *Agent) answerAll(ctx context.Context, q *ask) []answer {
+	own := a.ownPlace()
+	out := make([]answer, len(q.Ranks))
+	var asked sync.WaitGroup
+	for i, t := range q.Ranks {
+		asked.Go(func() {
+			if t.Rank == own.Rank {
+				out[i] = a.answerOwn(ctx, q)
+			} else {
+				out[i] = a.askOne(ctx, q, t)
+			}
+			out[i].Rank = t.Rank
+		})
+	}
+	asked.Wait()
+	return out
+}
+
+// answerOwn asks this agent's own rank.
+func (a *Agent) answerOwn(ctx context.Context, q *ask) answer {
+	out := answer{Verdict: holdswitch.Done}
+	if q.Order != nil && q.Order.Kind != holdswitch.OrderRead {
+		o, err := q.order()
+		if err != nil {
+			a.log.WithError(err).Warn("an order could not be read; it is refused")
+			return answer{Verdict: holdswitch.Refused}
+		}
+		out.Verdict = a.orderOwn(ctx, o)
+	}
+	reading, err := a.engine.Read(ctx)
+	if err != nil {
+		a.log.WithError(err).Debug("own rank not read")
+		if out.Verdict == holdswitch.Done && (q.Order == nil || q.Order.Kind == holdswitch.OrderRead) {
+			out.Verdict = holdswitch.Unanswered
+		}
+		return out
+	}
+	out.Reading = &reading
+	if q.Picks {
+		out.Picks = a.picks(ctx, q.From.Rank)
+	}
+	if q.Held {
+		if held, err := a.engine.Held(ctx); err == nil {
+			out.Held = &held
+		}
+	}
+	return out
+}
+
+// orderOwn gives the agent's own rank an order. It waits a little for a copy that
+// the order begins, so that the coordinator need not ask for it.
+func (a *Agent) orderOwn(ctx context.Context, o holdswitch.Order) holdswitch.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout+copyPatience)
+	defer cancel()
+	orderCtx, done := context.WithTimeout(ctx, orderTimeout)
+	defer done()
+	verdict := a.engine.Order(orderCtx, o).Verdict
+	if o.Kind != holdswitch.OrderPrepare || verdict != holdswitch.Done {
+		return verdict
+	}
+	for until := time.Now().Add(copyPatience); time.Now().Before(until); time.Sleep(copyInterval) {
+		if reading, err := a.engine.Read(ctx); err != nil || reading.State.Prepared == o.Version {
+			break
+		}
+	}
+	return verdict
+}
+
+// picks returns what each expert was chosen since the last question of an asker,
+// packed, nil when that is not known.
+func (a *Agent) picks(ctx context.Context, asker int) []byte {
+	counts, err := a.engine.Counts(ctx)
+	if err != nil {
+		a.log.WithError(err).Debug("counts of the own rank not read")
+		return nil
+	}
+	a.mu.Lock()
+	last := a.counted[asker]
+	a.counted[asker] = counts
+	a.mu.Unlock()
+	if last.Epoch != counts.Epoch || len(last.Counts) != len(counts.Counts) {
+		return nil
+	}
+	since := make([]uint64, len(counts.Counts))
+	for i := range since {
+		if counts.Counts[i] > last.Counts[i] {
+			since[i] = counts.Counts[i] - last.Counts[i]
+		}
+	}
+	packed, err := pack(since)
+	if err != nil {
+		a.log.WithError(err).Warn("picks could not be packed; they are left out")
+		return nil
+	}
+	return packed
+}
+
+// askOne asks one rank through its agent, or straight when the agent does not
+// answer. An engine does not tell other hosts what it has counted.
+func (a *Agent) askOne(ctx context.Context, q *ask, t target) answer {
+	if !a.silent.is(t.Rank, time.Now()) {
+		one := *q
+		one.Ranks = []target{t}
+		out, err := a.call(ctx, t.Agent, &one, callTimeout)
+		if err == nil && len(out) == 1 {
+			return out[0]
+		}
+		a.silent.mark(t.Rank, time.Now())
+	}
+	if q.Order == nil {
+		return answer{Verdict: holdswitch.Unanswered}
+	}
+	o, err := q.order()
+	if err != nil {
+		a.log.WithError(err).Warn("an order could not be read; it is refused")
+		return answer{Verdict: holdswitch.Refused}
+	}
+	return a.orderStraight(ctx, o, t)
+}
+
+// orderStraight gives an engine on another host an order.
+func (a *Agent) orderStraight(ctx context.Context, o holdswitch.Order, t target) answer {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	res := a.cfg.Direct(t.Engine).Order(ctx, o)
+	out := answer{Rank: t.Rank, Verdict: res.Verdict}
+	if res.State != nil {
+		out.Reading = &Reading{State: *res.State}
+	}
+	return out
+}
+
+// call asks another agent.
+func (a *Agent) call(ctx context.Context, address string, q *ask, timeout time.Duration) ([]answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	raw, err := json.Marshal(q)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathAsk, bytes.NewReader(raw))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.Header.Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	resp, err := a.http.Do(req)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return nil, errors.Errorf("agent answered %d; ask it again later", resp.StatusCode)
+	}
+	var out answers
+	err = json.NewDecoder(resp.Body).Decode(&out)
+	return out.Answers, errors.WithStack(err)
+}
--- /dev/null
+++ b/pkg/lockstep/board.go
@@ -0,0 +1,64 @@
+package lockstep
+
+import "time"
+
+// PathBoard is the path at which a coordinator tells entries how its ranks do.
+const PathBoard = "/v1/group/board"
+
+// Board is what a coordinator knows of its ranks.
+type Board struct {
+	Group string `json:"group"`
+	Epoch uint64 `json:"epoch"`
+	// AgeMillis is how old the board is.
+	AgeMillis int64 `json:"age_ms"`
+	// PassMillis is the usual time of a pass, 0 while it is unknown.
+	PassMillis float64 `json:"pass_ms"`
+	// Running and Waiting are each rank's requests, -1 for a rank that is not known
+	// or was not heard of for long.
+	Running []int `json:"running"`
+	Waiting []int `json:"waiting"`
+	// Pace is above 1 for a rank that is slow.
+	Pace []float64 `json:"pace"`
+}
+
+// boardLife is how old a rank's reading on a board may be. A request takes about
+// as long.
+const boardLife = time.Second
+
+// Board returns what this agent knows of the ranks, nil when it does not
+// coordinate.
+func (a *Agent) Board(now time.Time) *Board {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.board == nil {
+		return nil
+	}
+	b := *a.board
+	b.AgeMillis = now.Sub(a.boardAt).Milliseconds()
+	return &b
+}
+
+// publish puts what the round knows now on the board.
+func (a *Agent) publish(r *round, now time.Time) {
+	var b *Board
+	if r != nil {
+		b = r.board(now)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.board, a.boardAt = b, now
+}
+
+func (r *round) board(now time.Time) *Board {
+	b := &Board{Group: r.place.Group, Epoch: r.place.Epoch, PassMillis: float64(r.coordinator.PassTime()) / float64(time.Millisecond)}
+	for rank, reading := range r.readings {
+		running, waiting := reading.Running, reading.Waiting
+		if now.Sub(r.readAt[rank]) > boardLife {
+			running, waiting = -1, -1
+		}
+		b.Running = append(b.Running, running)
+		b.Waiting = append(b.Waiting, waiting)
+		b.Pace = append(b.Pace, reading.Pace)
+	}
+	return b
+}
--- a/pkg/lockstep/planner.go
+++ b/pkg/lockstep/planner.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
-	"github.com/acaciaglade/acaciaglade/pkg/expertmap/plan"
 )
 
 // Weights of the popularity of experts.
@@ -75,8 +74,3 @@
 	}
 	return out
 }
-
-// planMap returns a better map, nil when none is worth its copies.
-func planMap(current *expertmap.Map, p *popularity, speeds []float64, b plan.Bounds) (*expertmap.Map, int) {
-	return plan.Spread(current, p.shares(), speeds, p.size, b)
-}
--- /dev/null
+++ b/pkg/lockstep/round.go
@@ -0,0 +1,274 @@
+package lockstep
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap/holdswitch"
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap/plan"
+)
+
+// Intervals of a coordinator's questions.
+const (
+	// picksInterval is the time between two questions for picks. Popularity changes
+	// within seconds, and a switch takes some hundred milliseconds.
+	picksInterval = 150 * time.Millisecond
+	// surveyInterval is the time between two questions to all ranks. Entries choose
+	// ranks by the answers.
+	surveyInterval = 200 * time.Millisecond
+	// sampled is how many of the lowest ranks are asked for picks. All ranks see the
+	// same popularity, and the standbys among them hear the coordinator.
+	sampled = 12
+	// planPause is the time between two plans.
+	planPause = 50 * time.Millisecond
+	// copyBudget is how long a switch may copy experts.
+	copyBudget = 120 * time.Millisecond
+	// leastCopies is how many experts a rank may copy in a switch however long a
+	// copy takes.
+	leastCopies = 2
+)
+
+// round is a coordinator's work in one epoch.
+type round struct {
+	place       Place
+	coordinator *holdswitch.Coordinator
+	members     map[int]Member
+	size        expertmap.Size
+	shape       Shape
+	popularity  *popularity
+	// batch is the picks that ranks have told of since the last question, told how
+	// many ranks have, asked how many were asked.
+	batch [][]float64
+	told  int
+	asked int
+	held  map[int]*Held
+	// readings are the latest of each rank, readAt when they were asked for.
+	readings []Reading
+	readAt   []time.Time
+
+	nextPicks   time.Time
+	nextSurvey  time.Time
+	nextMembers time.Time
+	nextPlan    time.Time
+}
+
+func newRound(place Place, size expertmap.Size, shape Shape) *round {
+	return &round{
+		place: place, size: size, shape: shape, popularity: newPopularity(size),
+		held: make(map[int]*Held), members: make(map[int]Member),
+		readings: make([]Reading, size.Ranks), readAt: make([]time.Time, size.Ranks),
+		coordinator: holdswitch.New(holdswitch.Config{
+			Rank: place.Rank, Ranks: place.Ranks, Epoch: place.Epoch, Margin: margin,
+			Standbys: standbys, AbsentAfter: absentAfter,
+			PrepareTimeout: prepareTimeout, ArmTimeout: armTimeout, ReadInterval: readInterval,
+			NewVersion: newVersion(place.Rank),
+		}),
+	}
+}
+
+func (r *round) target(rank int) target {
+	m := r.members[rank]
+	return target{Rank: rank, Agent: m.Agent, Engine: m.Engine}
+}
+
+// survey asks ranks what is due: picks of a few, and how all of them do.
+func (a *Agent) survey(ctx context.Context, r *round, now time.Time) {
+	ranks := min(sampled, r.size.Ranks)
+	q := ask{From: r.place, Held: r.coordinator.Current() == nil}
+	if !now.Before(r.nextPicks) {
+		r.nextPicks = now.Add(picksInterval)
+		a.digest(r, now)
+		picks := q
+		picks.Picks = true
+		r.asked = ranks
+		for rank := range ranks {
+			go a.tell(r, now, func() answer { return a.pickOf(ctx, &picks, r.target(rank)) })
+		}
+	}
+	if !now.Before(r.nextSurvey) {
+		r.nextSurvey = now.Add(surveyInterval)
+		var list []target
+		for rank := ranks; rank < r.size.Ranks; rank++ {
+			if rank != r.place.Rank {
+				list = append(list, r.target(rank))
+			}
+		}
+		a.fanOut(ctx, q, list, func(out []answer) {
+			for _, one := range out {
+				a.told <- telling{run: r, asked: now, answer: one}
+			}
+		})
+		a.publish(r, now)
+	}
+}
+
+// pickOf asks one rank for its picks.
+func (a *Agent) pickOf(ctx context.Context, q *ask, t target) answer {
+	if t.Rank == q.From.Rank {
+		out := a.answerOwn(ctx, q)
+		out.Rank = t.Rank
+		return out
+	}
+	return a.askRank(ctx, *q, t)
+}
+
+func (a *Agent) tell(r *round, asked time.Time, question func() answer) {
+	a.told <- telling{run: r, asked: asked, answer: question()}
+}
+
+// take takes what a rank told, and plans once all have told.
+func (a *Agent) take(t telling, now time.Time) {
+	r, rank, reading := t.run, t.answer.Rank, t.answer.Reading
+	if reading == nil || reading.Place != (Place{Group: r.place.Group, Epoch: r.place.Epoch, Rank: rank, Ranks: r.place.Ranks}) {
+		return
+	}
+	r.readings[rank], r.readAt[rank] = *reading, t.asked
+	// The rank may have been read as soon as it was asked.
+	state := reading.State
+	state.Age += now.Sub(t.asked)
+	r.coordinator.Observe(rank, state, now)
+	if t.answer.Held != nil {
+		r.held[rank] = t.answer.Held
+		r.assemble()
+	}
+	if len(t.answer.Picks) > 0 {
+		a.addPicks(r, rank, t.answer.Picks)
+	}
+	if r.told > 0 && r.told == r.asked {
+		a.digest(r, now)
+	}
+}
+
+// addPicks adds a rank's picks to the batch.
+func (a *Agent) addPicks(r *round, rank int, packed []byte) {
+	var picks []uint64
+	if err := unpack(packed, &picks); err != nil || len(picks) != r.size.Layers*r.size.Experts {
+		a.log.WithError(err).WithField("rank", rank).Warn("picks of a rank can't be read; they are left out")
+		return
+	}
+	if r.batch == nil {
+		r.batch = make([][]float64, r.size.Layers)
+		for l := range r.batch {
+			r.batch[l] = make([]float64, r.size.Experts)
+		}
+	}
+	r.told++
+	for i, n := range picks {
+		r.batch[i/r.size.Experts][i%r.size.Experts] += float64(n)
+	}
+}
+
+// digest hands the batch to the popularity and plans by it.
+func (a *Agent) digest(r *round, now time.Time) {
+	if r.told > 0 {
+		r.popularity.observe(r.batch, now)
+		a.plan(r, now)
+	}
+	r.batch, r.told, r.asked = nil, 0, 0
+}
+
+// assemble joins what the ranks hold to the map in force.
+func (r *round) assemble() {
+	version, ok := r.coordinator.Uses()
+	if !ok || len(r.held) < r.size.Ranks {
+		r.fill()
+		return
+	}
+	m := &expertmap.Map{Version: version, Layers: make([]expertmap.Layer, r.size.Layers)}
+	for l := range m.Layers {
+		m.Layers[l] = make(expertmap.Layer, r.size.Ranks)
+	}
+	for rank, h := range r.held {
+		if h.Epoch != r.place.Epoch || h.Version != version || len(h.Experts) != r.size.Layers {
+			return
+		}
+		for l := range m.Layers {
+			m.Layers[l][rank] = h.Experts[l]
+		}
+	}
+	if m.Check(r.size) == nil {
+		r.coordinator.SetCurrent(m)
+		clear(r.held)
+	}
+}
+
+// fill makes a map from what the ranks that have told hold. The others get the
+// experts that are left, which one of them must hold.
+func (r *round) fill() {
+	if len(r.held) < r.size.Ranks-1 {
+		return
+	}
+	m := &expertmap.Map{Layers: make([]expertmap.Layer, r.size.Layers)}
+	for l := range m.Layers {
+		m.Layers[l] = r.fillLayer(l)
+	}
+	if m.Check(r.size) == nil {
+		r.coordinator.SetFiller(m)
+	}
+}
+
+func (r *round) fillLayer(l int) expertmap.Layer {
+	layer := make(expertmap.Layer, r.size.Ranks)
+	missing, held := -1, make([]bool, r.size.Experts)
+	for rank := range layer {
+		h := r.held[rank]
+		if h == nil || len(h.Experts) != r.size.Layers {
+			missing = rank
+			continue
+		}
+		layer[rank] = h.Experts[l]
+		for _, e := range h.Experts[l] {
+			if e >= 0 && e < len(held) {
+				held[e] = true
+			}
+		}
+	}
+	for e, ok := range held {
+		if !ok && missing >= 0 {
+			layer[missing] = append(layer[missing], e)
+		}
+	}
+	return layer
+}
+
+// plan proposes a better map.
+func (a *Agent) plan(r *round, now time.Time) {
+	current := r.coordinator.Current()
+	if current == nil || r.coordinator.Phase() != holdswitch.PhaseIdle || now.Before(r.nextPlan) || !r.popularity.ready() {
+		return
+	}
+	r.nextPlan = now.Add(planPause)
+	speeds, shares := r.speeds(), r.popularity.shares()
+	m, copies := plan.Spread(current, shares, speeds, r.size, r.bounds(a.cfg.Bounds))
+	if m == nil {
+		return
+	}
+	if r.coordinator.Propose(m, now) {
+		a.log.WithFields(logrus.Fields{
+			"copies": copies, "skew_before": plan.Skew(current, shares, speeds, r.size),
+			"skew_after": plan.Skew(m, shares, speeds, r.size), "shifts": r.popularity.shifts,
+		}).Info("new map proposed")
+	}
+}
+
+// speeds returns how fast the ranks are, 1 for one that is not slow.
+func (r *round) speeds() []float64 {
+	speeds := make([]float64, r.size.Ranks)
+	for rank := range speeds {
+		speeds[rank] = 1 / max(1, r.readings[rank].Pace)
+	}
+	return speeds
+}
+
+// bounds completes the bounds of a change by what the engine can do.
+func (r *round) bounds(b plan.Bounds) plan.Bounds {
+	b.MaxNew = r.shape.Spare
+	b.MaxCopies = leastCopies
+	if r.shape.CopyTime > 0 {
+		b.MaxCopies = max(leastCopies, int(copyBudget/r.shape.CopyTime))
+	}
+	return b
+}
--- a/pkg/lockstep/silence.go
+++ b/pkg/lockstep/silence.go
@@ -11,6 +11,9 @@
 	since map[int]time.Time
 }
 
+// silentFor is how long an agent that did not answer is not asked again.
+const silentFor = time.Second
+
 // mark records that the agent of a rank did not answer.
 func (s *silence) mark(rank int, now time.Time) {
 	s.mu.Lock()
--- a/pkg/lockstep/types.go
+++ b/pkg/lockstep/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
 	"github.com/acaciaglade/acaciaglade/pkg/expertmap/holdswitch"
@@ -71,6 +72,8 @@
 	Layers, Experts, Slots int
 	// Spare is how many experts of a layer one change may bring to a rank.
 	Spare int
+	// CopyTime is how long a rank copies one expert, 0 when that is unknown.
+	CopyTime time.Duration
 }
 
 // Shapes tells the shape of the model that this agent's engine runs.
