Divide bounds over all entries by those that may be alive

Ruled out: dividing by the entries that can be heard, which breaks the bound when they can't hear each other.

--- a/lab/objectapi/objectapi.go
+++ b/lab/objectapi/objectapi.go
@@ -171,7 +171,7 @@
 	if _, exists := s.objects[k]; exists {
 		return c.NoContent(http.StatusConflict)
 	}
-	return c.JSON(http.StatusCreated, s.store(k, o, "ADDED"))
+	return c.JSON(http.StatusCreated, s.store(k, o, objects.Added))
 }
 
 func (s *Server) update(c echo.Context) error {
@@ -189,7 +189,7 @@
 	if current.Metadata.ResourceVersion != o.Metadata.ResourceVersion {
 		return c.NoContent(http.StatusConflict)
 	}
-	return c.JSON(http.StatusOK, s.store(k, o, "MODIFIED"))
+	return c.JSON(http.StatusOK, s.store(k, o, objects.Modified))
 }
 
 func (s *Server) remove(c echo.Context) error {
@@ -201,7 +201,7 @@
 		return c.NoContent(http.StatusNotFound)
 	}
 	delete(s.objects, k)
-	s.change("DELETED", o)
+	s.change(objects.Deleted, o)
 	return c.JSON(http.StatusOK, o)
 }
 
@@ -234,9 +234,10 @@
 	var events []objects.Event
 	for k, o := range s.objects {
 		if k.kind == kind {
-			events = append(events, objects.Event{Type: "ADDED", Object: o})
+			events = append(events, objects.Event{Type: objects.Added, Object: o})
 		}
 	}
+	events = append(events, objects.Event{Type: objects.Bookmark, Object: objects.Object{Kind: kind}})
 	breaker := s.breakers
 	s.mu.Unlock()
 	for {
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -18,8 +18,10 @@
 	FailureDomain string
 	// Seed seeds the choice among equal upstreams.
 	Seed uint64
-	// ColdShare is the part of a cold upstream's rate that this entry may use.
-	ColdShare float64
+	// ColdFactor and ColdExtra turn the rate that a cold upstream bears into the
+	// bound that all entries keep together.
+	ColdFactor float64
+	ColdExtra  float64
 	// MaxWait is the longest wait of a request for an upstream. Default 1.2 s:
 	// with a first event soon after, its caller is still there.
 	MaxWait time.Duration
@@ -54,7 +56,10 @@
 	rand     *rand.Rand
 	services map[string]*service
 	sent     map[string]*sent
-	out      func(upstream, domain string) bool
+	// parts is into how many parts bounds over all entries are divided, 0 while
+	// that is not known.
+	parts int
+	out   func(upstream, domain string) bool
 }
 
 // service is the queue and the upstreams of one service.
@@ -116,6 +121,19 @@
 	return decisions
 }
 
+// SetParts takes into how many parts bounds that hold over all entries are divided.
+func (d *Dispatcher) SetParts(n int, now time.Time) []Decision {
+	if n == d.parts {
+		return nil
+	}
+	d.parts = n
+	var decisions []Decision
+	for _, s := range d.services {
+		decisions = append(decisions, d.grant(s, now)...)
+	}
+	return decisions
+}
+
 // SetUpstreams takes the upstreams that the platform lists now.
 func (d *Dispatcher) SetUpstreams(list []Upstream, now time.Time) []Decision {
 	byService := make(map[string][]Upstream)
@@ -325,7 +343,7 @@
 	if c.Group.Name != "" && !c.Group.Open || c.occupied(now) >= c.Slots {
 		return false
 	}
-	return s.cold <= 0 || float64(c.sends.count(now)) < max(1, s.cold*d.cfg.ColdShare)
+	return s.cold <= 0 || c.sends.allows((s.cold*d.cfg.ColdFactor+d.cfg.ColdExtra)/float64(max(1, d.parts)), now)
 }
 
 // Attain corrects an organisation's share by the difference between the real and
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -33,6 +33,9 @@
 
 // blocked returns why nothing of a service can run now, or nil.
 func (d *Dispatcher) blocked(s *service, now time.Time) *problem.Problem {
+	if d.parts == 0 {
+		return d.later(problem.ReasonNotReady, leastReturn)
+	}
 	usable, open := false, false
 	for _, c := range s.candidates {
 		if c.usable() {
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -117,11 +117,13 @@
 	return b
 }
 
-// window counts the sends of the last second.
+// window counts the sends of the last span. Any upstream may turn cold at any
+// moment, so the bound of cold ones holds for all.
 type window struct{ at []time.Time }
 
-// windowLength is the span of the platform's bound for cold upstreams.
-const windowLength = time.Second
+// windowLength is the span: the second that the platform's bound names, and a tenth
+// for what arrives closer together than it was sent.
+const windowLength = 1100 * time.Millisecond
 
 func (w *window) add(now time.Time) { w.at = append(w.at, now) }
 
@@ -131,3 +133,12 @@
 	}
 	return len(w.at)
 }
+
+// allows reports whether one more send keeps to a rate per span. A rate below 1
+// spreads sends over several spans.
+func (w *window) allows(rate float64, now time.Time) bool {
+	if rate >= 1 || len(w.at) == 0 {
+		return float64(w.count(now)+1) <= max(1, rate)
+	}
+	return now.Sub(w.at[len(w.at)-1]) > time.Duration(float64(windowLength)/rate)
+}
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -176,7 +176,7 @@
 			failed = false
 			return action, j.request.Reply.End()
 		case retry.Again:
-			if result.Event != retry.NotRun {
+			if result.Event != retry.NotRun && result.Event != retry.NotSent {
 				go j.abandon(u, j.state.Attempts)
 			}
 			return action, nil
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -174,6 +174,11 @@
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.SetIndex(ix, time.Now()) })
 }
 
+// SetParts takes into how many parts bounds that hold over all entries are divided.
+func (f *Direct) SetParts(n int) {
+	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.SetParts(n, time.Now()) })
+}
+
 // SetUpstreams takes the upstreams that the platform lists now.
 func (f *Direct) SetUpstreams(list []dispatch.Upstream) {
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.SetUpstreams(list, time.Now()) })
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -47,9 +47,19 @@
 	Spec     json.RawMessage `json:"spec"`
 }
 
+// Types of events.
+const (
+	Added    = "ADDED"
+	Modified = "MODIFIED"
+	Deleted  = "DELETED"
+	// Bookmark follows the current objects at the start of a watch. Its object has
+	// no name.
+	Bookmark = "BOOKMARK"
+)
+
 // Event is one line of a watch.
 type Event struct {
-	// Type is "ADDED", "MODIFIED" or "DELETED".
+	// Type is one of the types above.
 	Type   string `json:"type"`
 	Object Object `json:"object"`
 }
--- a/pkg/retry/names.go
+++ b/pkg/retry/names.go
@@ -5,6 +5,8 @@
 	switch k {
 	case NotRun:
 		return "the attempt did not run"
+	case NotSent:
+		return "no byte of the attempt was sent"
 	case Rejected:
 		return "the attempt was rejected"
 	case Silent:
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -34,6 +34,9 @@
 	// Differs means that another run of the request gave another answer than
 	// the part that was relayed.
 	Differs
+	// NotSent means that no byte of the attempt was sent, so that no upstream has
+	// seen it.
+	NotSent
 	// Errored means that the upstream answered with an error of its own, which is
 	// held and can still be given to the caller.
 	Errored
@@ -76,6 +79,8 @@
 	// for any number.
 	Attempts    int
 	MaxAttempts int
+	// Unsent counts the attempts that were not sent.
+	Unsent int
 }
 
 // Spender is a budget of retries.
@@ -84,6 +89,10 @@
 	Spend(now time.Time) bool
 }
 
+// maxUnsent is the largest number of attempts of which no byte was sent: each takes
+// the time to find an upstream out of reach.
+const maxUnsent = 4
+
 // maxResumes is the largest number of resumes in a row without progress.
 const maxResumes = 3
 
@@ -100,6 +109,8 @@
 		return r.running(budget, now)
 	case NotRun:
 		return r.again(budget, now)
+	case NotSent:
+		return r.unsent(now)
 	case Errored:
 		return r.errored(budget, now)
 	default:
@@ -131,6 +142,17 @@
 	return r.again(budget, now)
 }
 
+// unsent tries another upstream. An attempt that was not sent is neither a retry nor
+// one of those that are allowed.
+func (r *Request) unsent(now time.Time) Action {
+	r.Attempts--
+	r.Unsent++
+	if r.Unsent > maxUnsent || !r.mayRepeat(now) {
+		return r.refusal()
+	}
+	return Again
+}
+
 func (r *Request) again(budget Spender, now time.Time) Action {
 	if !r.mayRepeat(now) || !budget.Spend(now) {
 		return r.refusal()
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -6,18 +6,18 @@
 // requests for it in that span, and some more. Entries that share a bound each
 // hold their part of it, so they need not hear each other.
 type Window struct {
-	// ratio is how many retries each request earns, slack how many are allowed
-	// beside those.
+	// ratio is how many retries each request earns, slack returns how many are
+	// allowed beside those.
 	ratio  float64
-	slack  float64
+	slack  func(now time.Time) float64
 	length time.Duration
 
 	requests events
 	retries  events
 }
 
-// NewWindow returns a window without any event.
-func NewWindow(ratio, slack float64, length time.Duration) *Window {
+// NewWindow returns a window without any event. slack is asked at each retry.
+func NewWindow(ratio float64, slack func(now time.Time) float64, length time.Duration) *Window {
 	return &Window{ratio: ratio, slack: slack, length: length}
 }
 
@@ -27,7 +27,7 @@
 // Spend takes one retry. It reports false when none is left.
 func (w *Window) Spend(now time.Time) bool {
 	since := now.Add(-w.length)
-	allowed := w.ratio*float64(w.requests.since(since)) + w.slack
+	allowed := w.ratio*float64(w.requests.since(since)) + w.slack(now)
 	if float64(w.retries.since(since)+1) > allowed {
 		return false
 	}
