Sample picks from ranks that lie apart, and take experts off slow ranks

A rank that turned slow kept its last replica of each expert, so copying halved its work at best. Ruled out: reading all ranks' counts (a megabyte a poll on 63 ranks). Change: the sample lies apart and moves on when it tells of no picks; a change may take an expert off the slowest rank once another one holds it. The end of a request is logged with its longest pause. Conclusion: entries have to learn which ranks are slow.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -260,6 +260,7 @@
 	}
 	if !r.FirstPart.IsZero() {
 		fields["first_part_ms"] = r.FirstPart.Sub(r.Received).Milliseconds()
+		fields["longest_pause_ms"] = r.LongestPause.Milliseconds()
 	}
 	if p == nil {
 		e.log.WithFields(fields).Info("request served")
--- a/pkg/expertmap/plan/spread.go
+++ b/pkg/expertmap/plan/spread.go
@@ -88,7 +88,8 @@
 	fresh  []int
 }
 
-// placement is one more replica of an expert, in the place of another one.
+// placement is one more replica of an expert at a rank, in the place of another one.
+// Either may be none.
 type placement struct {
 	rank, expert, victim int
 	gain                 float64
@@ -125,26 +126,35 @@
 	if p.victim != none {
 		s.drop(p.rank, p.victim)
 	}
-	s.add(p.rank, p.expert)
-	s.copies[p.rank]++
-	s.fresh[p.rank]++
+	if p.expert != none {
+		s.add(p.rank, p.expert)
+		s.copies[p.rank]++
+		s.fresh[p.rank]++
+	}
 }
 
 func (s *spreader) revert(p placement) {
-	s.drop(p.rank, p.expert)
+	if p.expert != none {
+		s.drop(p.rank, p.expert)
+		s.copies[p.rank]--
+		s.fresh[p.rank]--
+	}
 	if p.victim != none {
 		s.add(p.rank, p.victim)
 	}
-	s.copies[p.rank]--
-	s.fresh[p.rank]--
 }
 
-// bestPlacement relieves the slowest rank of the expert whose further replica
-// lowers the penalty most.
+// bestPlacement relieves the slowest rank of the expert whose further replica, or
+// whose removal from that rank, lowers the penalty most.
 func (s *spreader) bestPlacement() (placement, bool) {
 	best := placement{}
 	slow := s.slowest(1)[0]
 	for _, e := range s.held[slow] {
+		if s.replicas(e) > 1 {
+			if gain := s.replaceGain(slow, none, e); gain > best.gain {
+				best = placement{rank: slow, expert: none, victim: e, gain: gain}
+			}
+		}
 		for r := range s.held {
 			if r == slow || s.holds(r, e) || s.fresh[r] >= s.bounds.MaxNew || s.copies[r] >= s.bounds.MaxCopies {
 				continue
--- /dev/null
+++ b/pkg/expertmap/plan/spread_test.go
@@ -0,0 +1,122 @@
+package plan
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
+)
+
+// engineSizes are the shapes of groups whose popular experts change within seconds.
+var engineSizes = []expertmap.Size{
+	{Ranks: 12, Layers: 4, Experts: 72, Slots: 8},
+	{Ranks: 63, Layers: 8, Experts: 252, Slots: 5},
+}
+
+var engineBounds = Bounds{MaxNew: 2, MaxCopies: 8, Target: 1.3, MinGain: 0.02, MinTotal: 0.1}
+
+func even(n int) []float64 {
+	speeds := make([]float64, n)
+	for i := range speeds {
+		speeds[i] = 1
+	}
+	return speeds
+}
+
+// popularityDecay is how steeply the popularity of experts falls with their rank.
+const popularityDecay = 0.67
+
+func sharesOf(rng *rand.Rand, size expertmap.Size) [][]float64 {
+	shares := make([][]float64, size.Layers)
+	for l := range shares {
+		shares[l] = zipf(rng, popularityDecay, size.Experts)
+	}
+	return shares
+}
+
+// checkChange checks that a change keeps to the bounds of the engine.
+func checkChange(t *testing.T, from, to *expertmap.Map, size expertmap.Size, b Bounds) {
+	t.Helper()
+	if err := to.Check(size); err != nil {
+		t.Fatal(err)
+	}
+	total := make([]int, size.Ranks)
+	for l := range to.Layers {
+		for r, n := range expertmap.Added(from.Layers[l], to.Layers[l]) {
+			total[r] += n
+			if n > b.MaxNew {
+				t.Errorf("layer %d brings %d experts to rank %d", l, n, r)
+			}
+		}
+	}
+	for r, n := range total {
+		if n > b.MaxCopies {
+			t.Errorf("rank %d copies %d experts", r, n)
+		}
+	}
+}
+
+// The popular experts change again and again: one change of the map is enough to
+// bring the skew of each shift near the target.
+func TestSpreadFollowsShifts(t *testing.T) {
+	for _, size := range engineSizes {
+		rng := rand.New(rand.NewPCG(1, uint64(size.Ranks)))
+		current, speeds := expertmap.InTurn(size), even(size.Ranks)
+		for shift := range 12 {
+			shares := sharesOf(rng, size)
+			before := Skew(current, shares, speeds, size)
+			next, _ := Spread(current, shares, speeds, size, engineBounds)
+			if next == nil {
+				t.Fatalf("no change for a skew of %.2f", before)
+			}
+			checkChange(t, current, next, size, engineBounds)
+			current = next
+			if after := Skew(current, shares, speeds, size); after > 1.5 {
+				t.Errorf("%d ranks, shift %d: skew %.2f after one change, %.2f before", size.Ranks, shift, after, before)
+			}
+		}
+	}
+}
+
+// A rank that turns slow gives its work to the others within a few changes.
+func TestSpreadRelievesASlowRank(t *testing.T) {
+	for _, size := range engineSizes {
+		rng := rand.New(rand.NewPCG(2, uint64(size.Ranks)))
+		current, speeds := expertmap.InTurn(size), even(size.Ranks)
+		shares := sharesOf(rng, size)
+		for range 3 {
+			if next, _ := Spread(current, shares, speeds, size, engineBounds); next != nil {
+				current = next
+			}
+		}
+		speeds[3] = 1.0 / 12
+		before := Skew(current, shares, speeds, size)
+		for range 4 {
+			next, _ := Spread(current, shares, speeds, size, engineBounds)
+			if next == nil {
+				break
+			}
+			checkChange(t, current, next, size, engineBounds)
+			current = next
+		}
+		after := Skew(current, shares, speeds, size)
+		t.Logf("%d ranks, one twelve times slower: skew %.2f to %.2f", size.Ranks, before, after)
+		if after > 1.7 {
+			t.Errorf("%d ranks: skew %.2f with a slow rank, %.2f before the changes", size.Ranks, after, before)
+		}
+	}
+}
+
+func TestSpreadLeavesABalancedMapAlone(t *testing.T) {
+	size := engineSizes[0]
+	shares := make([][]float64, size.Layers)
+	for l := range shares {
+		shares[l] = make([]float64, size.Experts)
+		for e := range shares[l] {
+			shares[l][e] = 1 / float64(size.Experts)
+		}
+	}
+	if next, copies := Spread(expertmap.InTurn(size), shares, even(size.Ranks), size, engineBounds); next != nil {
+		t.Errorf("%d copies for an even load", copies)
+	}
+}
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -256,9 +256,7 @@
 func (j *job) Data(part []byte) error {
 	r := j.request
 	r.Spent++
-	if r.FirstPart.IsZero() {
-		r.FirstPart = time.Now()
-	}
+	r.Arrived(time.Now())
 	j.fleet.Part(r.ID)
 	err := r.Reply.Data(part)
 	j.state.Progress(r.Reply.Relayed())
--- a/pkg/lockstep/round.go
+++ b/pkg/lockstep/round.go
@@ -19,9 +19,12 @@
 	// surveyInterval is the time between two questions to all ranks. Entries choose
 	// ranks by the answers.
 	surveyInterval = 200 * time.Millisecond
-	// sampled is how many of the lowest ranks are asked for picks. All ranks see the
-	// same popularity, and the standbys among them hear the coordinator.
+	// sampled is how many ranks are asked for picks: all see about the same
+	// popularity.
 	sampled = 12
+	// samplePatience is how long a sample may tell of no picks before another one is
+	// taken: ranks without requests choose no experts.
+	samplePatience = time.Second
 	// planPause is the time between two plans.
 	planPause = 50 * time.Millisecond
 	// copyBudget is how long a switch may copy experts.
@@ -49,6 +52,9 @@
 	readings []Reading
 	readAt   []time.Time
 
+	// offset shifts the sample, pickedAt is when it last told of picks.
+	offset      int
+	pickedAt    time.Time
 	nextPicks   time.Time
 	nextSurvey  time.Time
 	nextMembers time.Time
@@ -74,25 +80,49 @@
 	return target{Rank: rank, Agent: m.Agent, Engine: m.Engine}
 }
 
+// sample returns the ranks that are asked for picks. They lie apart, as neighbours
+// stand in one failure domain, which may get no requests. The standbys are among
+// those that are asked, as they hear the coordinator by it.
+func (r *round) sample(now time.Time) []int {
+	if now.Sub(r.pickedAt) > samplePatience {
+		r.offset, r.pickedAt = r.offset+1, now
+	}
+	n := min(sampled, r.size.Ranks)
+	chosen := make([]bool, r.size.Ranks)
+	for i := range n {
+		chosen[(i*r.size.Ranks/n+r.offset)%r.size.Ranks] = true
+	}
+	for rank := range min(standbys, r.size.Ranks) {
+		chosen[rank] = true
+	}
+	var list []int
+	for rank, ok := range chosen {
+		if ok {
+			list = append(list, rank)
+		}
+	}
+	return list
+}
+
 // survey asks ranks what is due: picks of a few, and how all of them do.
 func (a *Agent) survey(ctx context.Context, r *round, now time.Time) {
-	ranks := min(sampled, r.size.Ranks)
 	q := ask{From: r.place, Held: r.coordinator.Current() == nil}
 	if !now.Before(r.nextPicks) {
 		r.nextPicks = now.Add(picksInterval)
 		a.digest(r, now)
 		picks := q
 		picks.Picks = true
-		r.asked = ranks
-		for rank := range ranks {
+		list := r.sample(now)
+		r.asked = len(list)
+		for _, rank := range list {
 			go a.tell(r, now, func() answer { return a.pickOf(ctx, &picks, r.target(rank)) })
 		}
 	}
 	if !now.Before(r.nextSurvey) {
 		r.nextSurvey = now.Add(surveyInterval)
 		var list []target
-		for rank := ranks; rank < r.size.Ranks; rank++ {
-			if rank != r.place.Rank {
+		for rank := range r.size.Ranks {
+			if rank != r.place.Rank && now.Sub(r.readAt[rank]) >= surveyInterval/2 {
 				list = append(list, r.target(rank))
 			}
 		}
@@ -135,7 +165,7 @@
 		r.assemble()
 	}
 	if len(t.answer.Picks) > 0 {
-		a.addPicks(r, rank, t.answer.Picks)
+		a.addPicks(r, rank, t.answer.Picks, now)
 	}
 	if r.told > 0 && r.told == r.asked {
 		a.digest(r, now)
@@ -143,7 +173,7 @@
 }
 
 // addPicks adds a rank's picks to the batch.
-func (a *Agent) addPicks(r *round, rank int, packed []byte) {
+func (a *Agent) addPicks(r *round, rank int, packed []byte, now time.Time) {
 	var picks []uint64
 	if err := unpack(packed, &picks); err != nil || len(picks) != r.size.Layers*r.size.Experts {
 		a.log.WithError(err).WithField("rank", rank).Warn("picks of a rank can't be read; they are left out")
@@ -157,6 +187,9 @@
 	}
 	r.told++
 	for i, n := range picks {
+		if n > 0 {
+			r.pickedAt = now
+		}
 		r.batch[i/r.size.Experts][i%r.size.Experts] += float64(n)
 	}
 }
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -73,6 +73,10 @@
 	Spent float64
 	// FirstPart is when the first part of an answer arrived, zero when none has.
 	FirstPart time.Time
+	// LastPart is when the latest part arrived, LongestPause the longest time between
+	// two.
+	LastPart     time.Time
+	LongestPause time.Duration
 	// Reply takes the answer.
 	Reply Reply
 	// Decisions takes the decisions about the request. It may be nil.
@@ -135,3 +139,13 @@
 	}
 	return v[len(scheme):]
 }
+
+// Arrived records that a part of the answer has arrived.
+func (r *Request) Arrived(now time.Time) {
+	if r.FirstPart.IsZero() {
+		r.FirstPart = now
+	} else {
+		r.LongestPause = max(r.LongestPause, now.Sub(r.LastPart))
+	}
+	r.LastPart = now
+}
