Choose ranks by what their coordinator knows of them

Cause: an entry knew of other entries' requests only what an upstream told with its answers; on 63 ranks that is seconds old, so entries chose the same ranks, and they kept sending to ranks twelve times slower than the others. Ruled out: choosing the least loaded rank of a shared board, which sends all entries to the same ranks until the next board. Change: the coordinator surveys all ranks every 200 ms and shows a board of their requests and paces; entries take it, add what they sent since, send by chance in proportion to the room below the common level, and leave slow ranks alone.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	cold       float64
 	pulse      pulse
 	granted    window
+	// boardAt is when the ranks of the service's group were last asked.
+	boardAt time.Time
 	// typical is the usual time from the grant of a request to its end.
 	typical time.Duration
 }
@@ -222,7 +224,7 @@
 	}
 	delete(d.sent, id)
 	s := a.service
-	a.candidate.own--
+	a.candidate.own.add(-1, now)
 	a.candidate.failed(f, now)
 	if !a.partAt.IsZero() {
 		s.pulse.ended()
@@ -250,7 +252,7 @@
 func (d *Dispatcher) Load(serviceName, id string, total int, now time.Time) {
 	for _, c := range d.service(serviceName).candidates {
 		if c.ID == id {
-			c.others, c.othersAt = max(0, total-c.own), now
+			c.tell(total, now)
 		}
 	}
 }
@@ -300,7 +302,7 @@
 		}
 		s.queue.Take(it, now)
 		delete(s.waiting, it.ID)
-		chosen.own++
+		chosen.own.add(1, now)
 		chosen.sends.add(now)
 		s.granted.add(now)
 		d.sent[it.ID] = &sent{service: s, candidate: chosen, at: now}
@@ -309,35 +311,6 @@
 	return decisions
 }
 
-// choose returns the upstream for a request, or nil when none has room.
-func (d *Dispatcher) choose(s *service, r *Request, now time.Time) *candidate {
-	var best *candidate
-	equal, least := 0, 0.0
-	for _, c := range s.candidates {
-		if !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
-			continue
-		}
-		load := float64(c.occupied(now))
-		if c.FailureDomain != d.cfg.FailureDomain {
-			load += remoteWeight
-		}
-		switch {
-		case best == nil || load < least:
-			best, least, equal = c, load, 1
-		case load == least:
-			equal++
-			if d.rand.IntN(equal) == 0 {
-				best = c
-			}
-		}
-	}
-	return best
-}
-
-// remoteWeight is how many requests less an upstream in another failure domain
-// must have to be preferred: it costs traffic between failure domains.
-const remoteWeight = 0.5
-
 // room reports whether a candidate can take one more request.
 func (d *Dispatcher) room(s *service, c *candidate, now time.Time) bool {
 	if c.Group.Name != "" && !c.Group.Open || c.occupied(now) >= c.Slots {
@@ -362,7 +335,7 @@
 				Limit: c.Slots, Running: c.occupied(now), Ready: c.usable(), Leaving: c.Leaving,
 			},
 			ReceivedAt: now,
-			InFlight:   c.own,
+			InFlight:   c.own.now,
 			Out:        c.out,
 			AvoidUntil: c.avoidUntil,
 		})
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -60,7 +60,7 @@
 	if s.typical > 0 {
 		running := 0
 		for _, c := range s.candidates {
-			running += c.own
+			running += c.own.now
 		}
 		perSecond = max(perSecond, float64(running)/s.typical.Seconds())
 	}
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -16,6 +16,8 @@
 	Incarnation string
 	// Slots is how many requests the upstream runs at once.
 	Slots int
+	// Agent is the address of the agent beside a rank.
+	Agent string
 	// Leaving is true once the upstream must get no new request.
 	Leaving bool
 	// Group is set when the upstream is a rank of a group.
@@ -68,11 +70,12 @@
 type candidate struct {
 	Upstream
 	out bool
-	// own is how many attempts of this entry are there.
-	own int
-	// others is how many attempts of other entries are there, as far as known.
-	others     int
-	othersAt   time.Time
+	own own
+	// others is how many attempts of other entries were there at othersAt.
+	others   int
+	othersAt time.Time
+	// pace is above 1 while the upstream is known to be slow.
+	pace       float64
 	avoidUntil time.Time
 	failures   int
 	sends      window
@@ -81,19 +84,6 @@
 // usable reports whether the candidate takes requests at all.
 func (c *candidate) usable() bool { return !c.out && !c.Leaving }
 
-// othersLife is how long what an upstream said of other entries' requests counts;
-// a request takes about as long.
-const othersLife = 1500 * time.Millisecond
-
-// occupied estimates how many requests the candidate has.
-func (c *candidate) occupied(now time.Time) int {
-	age := now.Sub(c.othersAt)
-	if age >= othersLife {
-		return c.own
-	}
-	return c.own + int(float64(c.others)*(1-float64(age)/float64(othersLife)))
-}
-
 // failed records the end of an attempt.
 func (c *candidate) failed(f Failure, now time.Time) {
 	switch f {
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/dispatch"
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/lockstep"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/reach"
@@ -44,6 +46,7 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	waiting    map[string]chan answer
+	boards     *boards
 	hosts      []hosts.Host
 	reach      *reach.Watch
 	cutOff     bool
@@ -53,12 +56,25 @@
 }
 
 // NewDirect returns a view without upstreams. probe opens a connection to an
-// upstream.
-func NewDirect(cfg dispatch.Config, probe func(ctx context.Context, address string) error) *Direct {
-	return &Direct{
+// upstream, client asks the agents of other hosts.
+func NewDirect(cfg dispatch.Config, probe func(ctx context.Context, address string) error, client *http.Client) *Direct {
+	f := &Direct{
 		probe: probe, log: logging.For("fleet"), dispatcher: dispatch.New(cfg),
 		waiting: make(map[string]chan answer), reach: reach.New(), lost: make(chan struct{}),
 	}
+	f.boards = &boards{http: client, log: f.log, take: f.setBoard, agents: f.coordinators}
+	return f
+}
+
+func (f *Direct) setBoard(b dispatch.Board) {
+	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.SetBoard(b, time.Now()) })
+}
+
+// coordinators returns the agents that may coordinate, by group.
+func (f *Direct) coordinators() map[string][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dispatcher.Coordinators(lockstep.Standbys)
 }
 
 // CutOff reports whether no upstream can be reached.
@@ -127,6 +143,7 @@
 
 // Run expires waiting requests until ctx ends.
 func (f *Direct) Run(ctx context.Context) {
+	go f.boards.run(ctx)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -149,7 +149,7 @@
 // ownInterval is the time between two readings of the agent's own rank. Only
 // ranks that may coordinate need to look often.
 func (a *Agent) ownInterval() time.Duration {
-	if a.place.Rank < standbys {
+	if a.place.Rank < Standbys {
 		return ownInterval
 	}
 	return idleInterval
--- a/pkg/lockstep/board.go
+++ b/pkg/lockstep/board.go
@@ -38,15 +38,15 @@
 	return &b
 }
 
-// publish puts what the round knows now on the board.
-func (a *Agent) publish(r *round, now time.Time) {
+// publish puts what ranks told since they were asked on the board.
+func (a *Agent) publish(r *round, asked time.Time) {
 	var b *Board
 	if r != nil {
-		b = r.board(now)
+		b = r.board(asked)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.board, a.boardAt = b, now
+	a.board, a.boardAt = b, asked
 }
 
 func (r *round) board(now time.Time) *Board {
--- a/pkg/lockstep/round.go
+++ b/pkg/lockstep/round.go
@@ -19,6 +19,8 @@
 	// surveyInterval is the time between two questions to all ranks. Entries choose
 	// ranks by the answers.
 	surveyInterval = 200 * time.Millisecond
+	// publishDelay is how long the answers to a survey are waited for.
+	publishDelay = 60 * time.Millisecond
 	// sampled is how many ranks are asked for picks: all see about the same
 	// popularity.
 	sampled = 12
@@ -53,8 +55,12 @@
 	readAt   []time.Time
 
 	// offset shifts the sample, pickedAt is when it last told of picks.
-	offset      int
-	pickedAt    time.Time
+	offset   int
+	pickedAt time.Time
+	// surveyedAt is when all ranks were last asked, nextPublish when the answers are
+	// put on the board.
+	surveyedAt  time.Time
+	nextPublish time.Time
 	nextPicks   time.Time
 	nextSurvey  time.Time
 	nextMembers time.Time
@@ -68,7 +74,7 @@
 		readings: make([]Reading, size.Ranks), readAt: make([]time.Time, size.Ranks),
 		coordinator: holdswitch.New(holdswitch.Config{
 			Rank: place.Rank, Ranks: place.Ranks, Epoch: place.Epoch, Margin: margin,
-			Standbys: standbys, AbsentAfter: absentAfter,
+			Standbys: Standbys, AbsentAfter: absentAfter,
 			PrepareTimeout: prepareTimeout, ArmTimeout: armTimeout, ReadInterval: readInterval,
 			NewVersion: newVersion(place.Rank),
 		}),
@@ -81,7 +87,7 @@
 }
 
 // sample returns the ranks that are asked for picks. They lie apart, as neighbours
-// stand in one failure domain, which may get no requests. The standbys are among
+// stand in one failure domain, which may get no requests. The Standbys are among
 // those that are asked, as they hear the coordinator by it.
 func (r *round) sample(now time.Time) []int {
 	if now.Sub(r.pickedAt) > samplePatience {
@@ -92,7 +98,7 @@
 	for i := range n {
 		chosen[(i*r.size.Ranks/n+r.offset)%r.size.Ranks] = true
 	}
-	for rank := range min(standbys, r.size.Ranks) {
+	for rank := range min(Standbys, r.size.Ranks) {
 		chosen[rank] = true
 	}
 	var list []int
@@ -131,7 +137,11 @@
 				a.told <- telling{run: r, asked: now, answer: one}
 			}
 		})
-		a.publish(r, now)
+		r.surveyedAt, r.nextPublish = now, now.Add(publishDelay)
+	}
+	if !r.nextPublish.IsZero() && !now.Before(r.nextPublish) {
+		r.nextPublish = time.Time{}
+		a.publish(r, r.surveyedAt)
 	}
 }
 
