Let the hold of a frozen coordinator go

Cause: the next coordinator left the frozen one's rank out only where it held at a rank whose state had no age; since readings carry the time of their answer, that was never so, and a group stood still for the 4 s of a freeze. Its first questions went through the frozen agent and took 350 ms. Ruled out: the frozen host's rank (it can't be commanded, but was never armed). Change: what was read since the coordinator began is enough; agents of lower ranks count as silent for one that takes over; the schedules survey all ranks as agents do. The new test fails with the old condition; 2,000 schedules pass.

--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -205,7 +205,7 @@
 			}
 			if v.state.Held == nil || held && *v.state.Held == c.step && v.state.Armed == nil {
 				c.holdAt = r
-				c.alone = i < ownHolds && v.state.Held == nil && v.state.Age == 0
+				c.alone = i < ownHolds && v.state.Held == nil
 				return true
 			}
 		}
--- a/pkg/expertmap/holdswitch/schedule_test.go
+++ b/pkg/expertmap/holdswitch/schedule_test.go
@@ -230,6 +230,7 @@
 	if a.c == nil {
 		return
 	}
+	w.survey(a)
 	if a.c.Current() == nil {
 		a.c.SetCurrent(w.current())
 		a.c.SetFiller(expertmap.InTurn(size))
@@ -246,6 +247,34 @@
 	}
 }
 
+// surveyInterval is the time between two surveys of all ranks by an agent.
+const surveyInterval = 200 * time.Millisecond
+
+// survey reads the ranks within reach as agents do beside the coordinator's orders.
+func (w *world) survey(a *actor) {
+	if w.now%surveyInterval != 0 {
+		return
+	}
+	c, asked := a.c, w.now
+	for r, e := range w.engines {
+		if w.outOfReach(a, r) || !w.calm && w.rand.IntN(10) == 0 {
+			continue
+		}
+		there := time.Duration(5+w.rand.IntN(30)) * time.Millisecond
+		w.after(there, func() {
+			state := e.state
+			w.after(there, func() {
+				a.waiting = append(a.waiting, func() {
+					if a.c == c {
+						state.Age = w.now - asked
+						c.Observe(r, state, w.time())
+					}
+				})
+			})
+		})
+	}
+}
+
 // current is the map in force by content, as the agents read it from their ranks.
 func (w *world) current() *expertmap.Map {
 	e := w.engines[0]
@@ -411,6 +440,36 @@
 	}
 }
 
+// A coordinator that freezes while it holds a pass does not keep its group standing
+// still: the next one lets the pass go, though the frozen one's rank is out of reach.
+func TestTheHoldOfAFrozenCoordinatorIsLetGo(t *testing.T) {
+	w := newWorld(1)
+	w.calm = true
+	w.start(w.actors[0])
+	frozen := w.actors[0]
+	for w.now < 10*time.Second && frozen.c.Phase() != holdswitch.PhaseCheck {
+		w.step()
+	}
+	if frozen.c.Phase() != holdswitch.PhaseCheck {
+		t.Fatal("no pass was held")
+	}
+	frozen.frozen = w.now + 10*time.Second
+	w.start(w.actors[1])
+	passes := w.passes
+	for end := w.now + 1500*time.Millisecond; w.now < end; {
+		w.step()
+	}
+	if got := w.passes - passes; got < 10 {
+		t.Errorf("%d passes in the 1.5 s after the coordinator froze", got)
+	}
+	for end := w.now + 15*time.Second; w.now < end && w.broken == nil; {
+		w.step()
+	}
+	if w.broken != nil {
+		t.Error(w.broken)
+	}
+}
+
 // The schedules notice when engines don't wait for held passes.
 func TestSchedulesNoticeMissingHold(t *testing.T) {
 	caught := 0
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -197,6 +197,10 @@
 		return
 	}
 	a.run = newRound(a.place, size, shape)
+	for rank := range a.place.Rank {
+		// They have gone silent, or they would coordinate.
+		a.silent.mark(rank, now)
+	}
 	a.log.WithFields(logrus.Fields{"epoch": a.place.Epoch, "rank": a.place.Rank, "ranks": a.place.Ranks}).Info("coordinating")
 }
 
