Run on the platform with checked commands, operators' API and metrics

Cause: the entry and the agent were started on the platform by a branch in main that skipped flags, served no operators and no metrics, took no SIGHUP, and read the planner's bounds from the environment. Ruled out: a second settings format for the platform (its file is read as it is; what it lacks are flags), and rows of tenants copied into the operators' table (a priority that the platform takes away would stay). Change: platform-entry and platform-agent are commands with flags; the settings file is checked, followed and reloaded; operators, peers and metrics have their ports; the table shows one row for each organisation that the platform provides; calls of the store, orders and map switches are counted. The operators' API is closed when it has no token.

--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -17,13 +17,16 @@
 	"github.com/acaciaglade/acaciaglade/pkg/warmup"
 )
 
-// AgentMain runs the agent and returns the process's exit status.
-func AgentMain(args []string) int {
+// AgentMain runs the agent, or the extra command that args name, and returns the
+// process's exit status.
+func AgentMain(args []string, extra ...Command) int {
 	var s settings.Agent
 	parser := flags.NewParser(&s, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "acaciaglade-agent"
+	parser.SubcommandsOptional = true
+	add(parser, extra)
 	_, err := parser.ParseArgs(args)
-	if err == nil {
+	if err == nil && parser.Active == nil {
 		err = runAgent(&s)
 	}
 	return report(parser.Name, err)
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -9,12 +9,14 @@
 	"github.com/pkg/errors"
 )
 
-// Main runs the command that args name and returns the process's exit status.
-func Main(args []string) int {
+// Main runs the command that args name, of the product or an extra one, and
+// returns the process's exit status.
+func Main(args []string, extra ...Command) int {
 	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "acaciaglade"
 	parser.ShortDescription = "load balancer for expert-parallel model groups"
-	addCommands(parser)
+	addCommands(parser, extra)
+	add(parser, extra)
 	_, err := parser.ParseArgs(args)
 	return report(parser.Name, err)
 }
@@ -39,10 +41,10 @@
 	exitFailure = 1
 )
 
-func addCommands(parser *flags.Parser) {
+func addCommands(parser *flags.Parser, extra []Command) {
 	must(parser.AddCommand("serve", "Serve callers and operators", "Runs the entry process until it is told to stop.", &serveCommand{}))
 	config := must(parser.AddCommand("config", "Work with settings", "Checks settings.", &struct{}{}))
-	must(config.AddCommand("reference", "Print the settings", "Prints the settings of both programs as a Markdown page.", &referenceCommand{}))
+	must(config.AddCommand("reference", "Print the settings", "Prints the settings of both programs as a Markdown page.", &referenceCommand{extra: extra}))
 	must(config.AddCommand("refusals", "Print the refusals", "Prints every reason of a refusal as a Markdown page.", &refusalsCommand{}))
 	must(config.AddCommand("check", "Check the settings of serve", "Reports every bad setting at once.", &checkCommand{}))
 	table := must(parser.AddCommand("table", "Read and replace the table", "Reads and replaces the table through any entry.", &struct{}{}))
--- a/pkg/cli/reference_test.go
+++ b/pkg/cli/reference_test.go
@@ -1,10 +1,13 @@
-package cli
+package cli_test
 
 import (
 	"bytes"
 	"io"
 	"os"
 	"testing"
+
+	"github.com/acaciaglade/acaciaglade/pkg/cli"
+	"github.com/acaciaglade/acaciaglade/platform"
 )
 
 // TestGeneratedPagesAreCurrent compares the generated pages with the flags and
@@ -14,8 +17,8 @@
 		file, command string
 		write         func(io.Writer) error
 	}{
-		{"docs/SETTINGS.md", "reference", WriteReference},
-		{"docs/REFUSALS.md", "refusals", WriteRefusals},
+		{"docs/SETTINGS.md", "reference", func(w io.Writer) error { return cli.WriteReference(w, platform.EntryCommand()) }},
+		{"docs/REFUSALS.md", "refusals", cli.WriteRefusals},
 	} {
 		want, err := os.ReadFile("../../" + page.file)
 		if err != nil {
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -47,7 +47,7 @@
 
 func newEntry(s *settings.Entry) *entry.Entry {
 	agents := peer.NewAgentClient(s.PeerToken)
-	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout), s.Name)
+	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout), tablestore.Config{Entry: s.Name, WatchTimeout: tablestore.WatchTimeout})
 	view := fleet.New(fleet.Config{
 		Entry:               s.Name,
 		LinePerOrganisation: s.LinePerOrganisation,
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -52,6 +52,14 @@
 	return d.index, clock.Since(d.proved)
 }
 
+// Provided returns what the platform provides beside the operators' table, nil
+// before it is known.
+func (d *Directory) Provided() *table.Table {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.base
+}
+
 // Prove records that the configuration in force was the newest when a question
 // was sent.
 func (d *Directory) Prove(sent clock.Boot) {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -145,7 +145,11 @@
 	if p.Relay {
 		e.exchange = tablestore.NewExchange(p.Store, entries, f.Hosts)
 	}
-	e.api = operator.New(operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}, p.Store, f, entries, p.Agents)
+	operatorConfig := operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}
+	if routed {
+		operatorConfig.Directory = p.Directory
+	}
+	e.api = operator.New(operatorConfig, p.Store, f, entries, p.Agents)
 	p.Store.RegisterMetrics(p.Registry)
 	e.chain = attempt.New(cfg.Attempt, f, p.Link, p.Registry)
 	e.chain = ceiling.New(e.chain, e.ceilings)
@@ -177,16 +181,21 @@
 
 // Register adds the entry's routes to an HTTP server.
 func (e *Entry) Register(s *echo.Echo) {
-	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.GET("/readyz", e.ready)
+	e.RegisterOperation(s)
+	s.POST(route.PathChat, e.chat)
+	s.Any(route.PrefixServices+"*", e.plain)
+}
+
+// RegisterOperation adds the routes of operators and of other entries.
+func (e *Entry) RegisterOperation(s *echo.Echo) {
+	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
 	peers := s.Group("", peer.RequireToken(e.cfg.PeerToken))
 	e.store.RegisterPeer(peers)
 	e.accounts.registerPeer(peers)
 	e.ceilings.registerPeer(peers)
 	e.api.Register(s)
-	s.POST(route.PathChat, e.chat)
-	s.Any(route.PrefixServices+"*", e.plain)
 }
 
 func (e *Entry) ready(c echo.Context) error {
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/acaciaglade/acaciaglade/pkg/expertmap"
@@ -30,6 +31,8 @@
 	// Bounds limit one change of the map. MaxNew and MaxCopies follow from the
 	// engine.
 	Bounds plan.Bounds
+	// Registry takes the agent's metrics. It may be nil.
+	Registry prometheus.Registerer
 }
 
 // Intervals and bounds of a coordinator.
@@ -65,7 +68,10 @@
 	engine Engine
 	http   *http.Client
 	log    *logrus.Entry
+	stats  *metrics
 	silent silence
+	// lost is true while the own rank does not answer.
+	lost bool
 
 	mu       sync.Mutex
 	election *election
@@ -98,6 +104,7 @@
 func New(cfg Config) *Agent {
 	return &Agent{
 		cfg: cfg, engine: cfg.Engine, http: cfg.HTTP, log: logging.For("group"), counted: make(map[int]Counts),
+		stats:   newMetrics(cfg.Registry),
 		results: make(chan result, 256), told: make(chan telling, 256),
 	}
 }
@@ -160,8 +167,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reading, err := a.engine.Read(ctx)
+	a.reachedOwn(err)
 	if err != nil {
-		a.log.WithError(err).Debug("own rank not read")
 		return
 	}
 	a.mu.Lock()
@@ -175,6 +182,7 @@
 	case a.run != nil && (a.run.place != a.place || a.run.coordinator.Lost() || !coordinates):
 		a.log.WithFields(logrus.Fields{"epoch": a.run.place.Epoch, "rank": a.place.Rank}).Info("no longer coordinating")
 		a.run = nil
+		a.stats.coordinating.Set(0)
 		a.publish(nil, now)
 	case a.run == nil && coordinates && a.place.Ranks > 1:
 		a.begin(ctx, now)
@@ -184,6 +192,19 @@
 	}
 }
 
+// reachedOwn logs when the own rank stops answering and when it answers again.
+func (a *Agent) reachedOwn(err error) {
+	if lost := err != nil; lost == a.lost {
+		return
+	}
+	a.lost = err != nil
+	if a.lost {
+		a.log.WithError(err).WithField("epoch", a.place.Epoch).Warn("own rank does not answer")
+		return
+	}
+	a.log.WithField("epoch", a.place.Epoch).Info("own rank answers")
+}
+
 // begin starts to coordinate.
 func (a *Agent) begin(ctx context.Context, now time.Time) {
 	shape, err := a.cfg.Shapes.Shape(ctx)
@@ -202,6 +223,7 @@
 		a.silent.mark(rank, now)
 	}
 	a.log.WithFields(logrus.Fields{"epoch": a.place.Epoch, "rank": a.place.Rank, "ranks": a.place.Ranks}).Info("coordinating")
+	a.stats.coordinating.Set(1)
 }
 
 // newVersion returns versions that no other coordinator uses: they grow with the
@@ -236,6 +258,7 @@
 	a.survey(ctx, r, now)
 	a.give(ctx, r, r.coordinator.Step(now))
 	for _, e := range r.coordinator.Events() {
+		a.stats.event(&e)
 		a.log.WithFields(logrus.Fields{
 			"what": e.What, "version": e.Version, "step": e.Step, "rank": e.Rank,
 			"prepare_ms": e.Prepare.Milliseconds(), "arm_ms": e.Arm.Milliseconds(), "settle_ms": e.Settle.Milliseconds(),
@@ -295,6 +318,7 @@
 // finish hands on the result of a command.
 func (a *Agent) finish(r *round, cmd holdswitch.Command, out answer) {
 	res := holdswitch.Result{Verdict: out.Verdict}
+	a.stats.orders.WithLabelValues(string(cmd.Order.Kind), string(out.Verdict)).Inc()
 	if out.Reading != nil {
 		res.State = &out.Reading.State
 	}
--- a/pkg/operator/marks.go
+++ b/pkg/operator/marks.go
@@ -35,7 +35,7 @@
 
 func (a *API) markFailureDomain(c echo.Context) error {
 	name := c.Param("name")
-	if ix := a.store.Index(); ix != nil && !hasFailureDomain(ix.Table(), name) {
+	if ix := a.index(); ix != nil && !hasFailureDomain(ix.Table(), name) {
 		return WriteProblem(c, problem.New(problem.ReasonUnknownRow, "no failure domain "+name))
 	}
 	return a.mark(c, api.ProvisionalOut{FailureDomain: name}, func(d *tablestore.Draft) error {
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -30,12 +30,22 @@
 
 // Config is the settings of the operators' API.
 type Config struct {
-	// Token is the operators' bearer token.
+	// Token is the operators' bearer token. Without one the API is closed.
 	Token string
 	// Entry is the name of this entry.
 	Entry string
 	// Accounts is what this entry counted.
 	Accounts Accounts
+	// Directory holds the table in force when the platform provides a part of it.
+	// When it is nil, the table is the store's.
+	Directory Directory
+}
+
+// Directory holds a table in force.
+type Directory interface {
+	// Index returns the table in force, nil before one is known, and the age of the
+	// proof that it is the newest.
+	Index() (*table.Index, time.Duration)
 }
 
 // API is the operators' API.
@@ -72,7 +82,7 @@
 func (a *API) authorise(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		got := pipe.BearerToken(c.Request().Header)
-		if subtle.ConstantTimeCompare([]byte(got), []byte(a.cfg.Token)) != 1 {
+		if a.cfg.Token == "" || subtle.ConstantTimeCompare([]byte(got), []byte(a.cfg.Token)) != 1 {
 			return WriteProblem(c, problem.New(problem.ReasonOperatorUnauthorised, ""))
 		}
 		return next(c)
@@ -107,7 +117,7 @@
 	if err := json.NewDecoder(c.Request().Body).Decode(&t); err != nil {
 		return WriteProblem(c, problem.New(problem.ReasonBadRequest, err.Error()))
 	}
-	if faults := table.Check(&t); faults != nil {
+	if faults := a.store.Check(&t); faults != nil {
 		return refuseChange(c, faults)
 	}
 	return a.change(c, func(d *tablestore.Draft) error {
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -16,6 +16,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
 	"github.com/acaciaglade/acaciaglade/pkg/marks"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
 
@@ -106,7 +107,15 @@
 	return c.JSON(http.StatusOK, s)
 }
 
+// proofAge is the age of an answer beyond which the platform's store counts as
+// silent: a host asks it more often.
+const proofAge = 3 * time.Second
+
 func (a *API) platform() PlatformStatus {
+	if a.cfg.Directory != nil {
+		ix, proved := a.cfg.Directory.Index()
+		return PlatformStatus{Answers: ix != nil && proved < proofAge, Answered: ix != nil, AnswerAgeMillis: proved.Milliseconds()}
+	}
 	view := a.store.Platform()
 	if view.AnsweredAt.IsZero() {
 		return PlatformStatus{}
@@ -114,9 +123,18 @@
 	return PlatformStatus{Answers: view.Err == nil, Answered: true, AnswerAgeMillis: time.Since(view.AnsweredAt).Milliseconds()}
 }
 
+// index returns the table in force, nil before one is known.
+func (a *API) index() *table.Index {
+	if a.cfg.Directory == nil {
+		return a.store.Index()
+	}
+	ix, _ := a.cfg.Directory.Index()
+	return ix
+}
+
 func (a *API) upstreams(now time.Time) []UpstreamStatus {
 	list := []UpstreamStatus{}
-	ix := a.store.Index()
+	ix := a.index()
 	if ix == nil {
 		return list
 	}
--- a/pkg/table/check.go
+++ b/pkg/table/check.go
@@ -41,6 +41,9 @@
 	return strings.Join(lines, "\n")
 }
 
+// ColumnTokenHash is the column of the hashes of tokens.
+const ColumnTokenHash = "token_hash"
+
 var validate = newValidate()
 
 func newValidate() *validator.Validate {
@@ -103,7 +106,7 @@
 	organisations, tokens := seen{}, seen{}
 	for i, o := range t.Organisations {
 		faults = organisations.check(faults, "organisations", i, "name", o.Name)
-		faults = tokens.check(faults, "organisations", i, "token_hash", o.TokenHash)
+		faults = tokens.check(faults, "organisations", i, ColumnTokenHash, o.TokenHash)
 	}
 	services := seen{}
 	for i, s := range t.Services {
--- a/pkg/table/csv.go
+++ b/pkg/table/csv.go
@@ -11,7 +11,7 @@
 )
 
 // csvHeader is the columns of the organisations as CSV.
-var csvHeader = []string{"name", "token_hash", "weight", "ceiling", "priority"}
+var csvHeader = []string{"name", ColumnTokenHash, "weight", "ceiling", "priority"}
 
 // WriteCSV writes organisations as CSV with a header.
 func WriteCSV(w io.Writer, organisations []Organisation) error {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -23,6 +23,9 @@
 	Ceiling int `json:"ceiling" validate:"min=0,max=1000000000"`
 	// Priority is true when the organisation is served first on arrival.
 	Priority bool `json:"priority"`
+	// EngineRank is the rank that the platform gives the organisation's work at
+	// engines, 0 first. Nil leaves it to the route.
+	EngineRank *int `json:"-" validate:"-"`
 }
 
 // Key is one of the further keys of an organisation.
--- a/pkg/tablestore/change.go
+++ b/pkg/tablestore/change.go
@@ -72,7 +72,8 @@
 	if err != nil {
 		return nil, nil, notWritten(err)
 	}
-	d := &Draft{Table: base.Clone(), settled: head.Settled}
+	d := &Draft{Table: base.Clone(), settled: head.Settled, check: s.Check}
+	s.complete(d.Table)
 	if err := edit(d); err != nil {
 		return nil, nil, err
 	}
--- a/pkg/tablestore/draft.go
+++ b/pkg/tablestore/draft.go
@@ -24,6 +24,7 @@
 type Draft struct {
 	*table.Table
 	settled []string
+	check   func(*table.Table) table.Faults
 }
 
 // Settled reports whether a provisional mark has been written into the table.
@@ -40,7 +41,7 @@
 
 // Check returns every bad cell of the draft as table.Faults, or nil.
 func (d *Draft) Check() error {
-	if faults := table.Check(d.Table); faults != nil {
+	if faults := d.check(d.Table); faults != nil {
 		return faults
 	}
 	return nil
--- a/pkg/tablestore/exchange.go
+++ b/pkg/tablestore/exchange.go
@@ -70,7 +70,7 @@
 			names = append(names, h.Name)
 		}
 	}
-	neighbours := tablesync.Neighbours(x.store.entry, names)
+	neighbours := tablesync.Neighbours(x.store.cfg.Entry, names)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for name, stop := range x.loops {
@@ -141,7 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &tablesync.Ask{
-		Entry:       s.entry,
+		Entry:       s.cfg.Entry,
 		Version:     s.holder.Head().Version,
 		Provisional: held.Provisional,
 		WaitMillis:  wait.Milliseconds(),
--- a/pkg/tablestore/exchange_test.go
+++ b/pkg/tablestore/exchange_test.go
@@ -75,7 +75,7 @@
 	var list []hosts.Host
 	for i := range entries {
 		name := fmt.Sprintf("entry-%03d", i)
-		n.stores[name] = New(f, name)
+		n.stores[name] = New(f, Config{Entry: name, WatchTimeout: WatchTimeout})
 		n.silent[name] = i%10 == 9
 		list = append(list, hosts.Host{Name: name, Role: hosts.RoleEntry, Address: name})
 	}
--- a/pkg/tablestore/peerapi.go
+++ b/pkg/tablestore/peerapi.go
@@ -55,7 +55,7 @@
 // holds the lock.
 func (s *Store) news(ask *tablesync.Ask) (*tablesync.News, bool) {
 	held := s.marks.Held()
-	news := &tablesync.News{Entry: s.entry, Version: s.holder.Head().Version, Provisional: held.Provisional}
+	news := &tablesync.News{Entry: s.cfg.Entry, Version: s.holder.Head().Version, Provisional: held.Provisional}
 	if news.Version > ask.Version {
 		news.Head = s.holder.Head()
 	}
--- a/pkg/tablestore/platform.go
+++ b/pkg/tablestore/platform.go
@@ -14,9 +14,8 @@
 
 // Bounds of the watch of the platform's store.
 const (
-	// watchTimeout is after how long a watch is opened anew, so that one that
-	// has gone silent is noticed.
-	watchTimeout = 10 * time.Second
+	// WatchTimeout is after how long a watch of the object API is opened anew.
+	WatchTimeout = 10 * time.Second
 	// watchPause and maxWatchPause bound the time between two watches.
 	watchPause    = 100 * time.Millisecond
 	maxWatchPause = 2 * time.Second
@@ -45,7 +44,7 @@
 // watchOnce follows one watch until it ends, or until a version that it told of
 // could not be read.
 func (s *Store) watchOnce(ctx context.Context, answered func()) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	ctx, cancel := s.bounded(ctx)
 	defer cancel()
 	err := s.objects.Watch(ctx, HeadKind, func(e objects.Event) {
 		answered()
@@ -61,6 +60,14 @@
 	return err
 }
 
+// bounded returns a context that ends when a watch is due to be opened anew.
+func (s *Store) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if s.cfg.WatchTimeout <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, s.cfg.WatchTimeout)
+}
+
 func (s *Store) takeObject(ctx context.Context, o objects.Object) error {
 	if o.Metadata.Name != HeadName {
 		return nil
--- a/pkg/tablestore/provisional.go
+++ b/pkg/tablestore/provisional.go
@@ -35,7 +35,7 @@
 		return
 	}
 	m.ID = uuid.NewString()
-	m.Entry = s.entry
+	m.Entry = s.cfg.Entry
 	s.MergeProvisional([]api.ProvisionalOut{m})
 }
 
@@ -97,7 +97,7 @@
 func (s *Store) settlePause() (pause time.Duration, pending bool) {
 	provisional := s.Marks().Provisional
 	for _, m := range provisional {
-		if m.Entry == s.entry {
+		if m.Entry == s.cfg.Entry {
 			return settleInterval, true
 		}
 	}
--- a/pkg/tablestore/tablestore.go
+++ b/pkg/tablestore/tablestore.go
@@ -37,10 +37,23 @@
 	objects.Remover
 }
 
+// Config is the settings of a store.
+type Config struct {
+	// Entry is the name of this entry.
+	Entry string
+	// WatchTimeout is after how long a watch is opened anew, so that one that has
+	// gone silent is noticed. 0 is for a platform's store that notices by itself.
+	WatchTimeout time.Duration
+	// Provided returns what the platform provides beside the table: organisations
+	// with their keys, services and failure domains. It is nil when the table holds
+	// all of them, and returns nil while they are not known.
+	Provided func() *table.Table
+}
+
 // Store keeps the newest table.
 type Store struct {
 	objects Objects
-	entry   string
+	cfg     Config
 	log     *logrus.Entry
 
 	mu        sync.Mutex
@@ -61,8 +74,8 @@
 }
 
 // New returns a store of an entry. It holds no table yet.
-func New(o Objects, entry string) *Store {
-	return &Store{objects: o, entry: entry, log: logging.For("table"), changed: make(chan struct{})}
+func New(o Objects, cfg Config) *Store {
+	return &Store{objects: o, cfg: cfg, log: logging.For("table"), changed: make(chan struct{})}
 }
 
 // Subscribe calls fn with each newer version from now on.
--- a/pkg/tablestore/tablestore_test.go
+++ b/pkg/tablestore/tablestore_test.go
@@ -70,7 +70,7 @@
 // tomorrow.
 func TestOneRowOfManyOrganisations(t *testing.T) {
 	f := newFake()
-	writer, holder := New(f, "a"), New(f, "b")
+	writer, holder := New(f, Config{Entry: "a", WatchTimeout: WatchTimeout}), New(f, Config{Entry: "b", WatchTimeout: WatchTimeout})
 	change(t, writer, func(d *Draft) { d.Organisations = organisations(38_000) })
 	t.Logf("whole table: %d objects, %d bytes, largest %d", f.writes, f.bytes, f.largest)
 	if f.largest >= objects.MaxValueBytes {
@@ -106,11 +106,11 @@
 
 func TestRacingWritersLoseNothing(t *testing.T) {
 	f := newFake()
-	change(t, New(f, "first"), func(d *Draft) { d.Organisations = organisations(1) })
+	change(t, New(f, Config{Entry: "first", WatchTimeout: WatchTimeout}), func(d *Draft) { d.Organisations = organisations(1) })
 	const writers, changes = 4, 5
 	var group sync.WaitGroup
 	for i := range writers {
-		s := New(f, fmt.Sprint("entry-", i))
+		s := New(f, Config{Entry: fmt.Sprint("entry-", i), WatchTimeout: WatchTimeout})
 		group.Go(func() {
 			for range changes {
 				change(t, s, func(d *Draft) { d.Organisations[0].Ceiling++ })
@@ -118,7 +118,7 @@
 		})
 	}
 	group.Wait()
-	got := change(t, New(f, "last"), func(*Draft) {})
+	got := change(t, New(f, Config{Entry: "last", WatchTimeout: WatchTimeout}), func(*Draft) {})
 	if want := 1000 + writers*changes; got.Organisations[0].Ceiling != want {
 		t.Errorf("ceiling is %d after all writes; want %d", got.Organisations[0].Ceiling, want)
 	}
@@ -130,7 +130,7 @@
 
 func testFailuresOfThePlatform(t *testing.T) {
 	f := newFake()
-	s := New(f, "a")
+	s := New(f, Config{Entry: "a", WatchTimeout: WatchTimeout})
 	change(t, s, func(d *Draft) { d.Organisations = organisations(1) })
 	raise := func(d *Draft) error {
 		d.Organisations[0].Weight++
@@ -166,7 +166,7 @@
 
 func TestRetiredPagesAreRemovedAfterTheirTime(t *testing.T) {
 	f := newFake()
-	s := New(f, "a")
+	s := New(f, Config{Entry: "a", WatchTimeout: WatchTimeout})
 	change(t, s, func(d *Draft) { d.Organisations = organisations(1) })
 	change(t, s, func(d *Draft) { d.Organisations[0].Weight = 7 })
 	d := &Draft{Table: s.Index().Table().Clone()}
@@ -187,7 +187,7 @@
 
 func TestProvisionalOutIsWrittenOnceAndNeverComesBack(t *testing.T) {
 	f := newFake()
-	a, b, cutOff := New(f, "a"), New(f, "b"), New(f, "c")
+	a, b, cutOff := New(f, Config{Entry: "a", WatchTimeout: WatchTimeout}), New(f, Config{Entry: "b", WatchTimeout: WatchTimeout}), New(f, Config{Entry: "c", WatchTimeout: WatchTimeout})
 	change(t, a, func(d *Draft) { d.FailureDomains = []table.FailureDomain{{Name: "fd-a"}} })
 	pull(t, a, b)
 	pull(t, a, cutOff)
@@ -225,17 +225,17 @@
 // doesn't take that for an empty one.
 func TestCurrentBeforeTheFirstRead(t *testing.T) {
 	fake := newFake()
-	if got, err := New(fake, "fresh").Current(t.Context()); err != nil || got.Version != 0 {
+	if got, err := New(fake, Config{Entry: "fresh", WatchTimeout: WatchTimeout}).Current(t.Context()); err != nil || got.Version != 0 {
 		t.Fatalf("no table: got %v, %v", got, err)
 	}
-	change(t, New(fake, "writer"), func(d *Draft) {
+	change(t, New(fake, Config{Entry: "writer", WatchTimeout: WatchTimeout}), func(d *Draft) {
 		d.Organisations = organisations(1)
 	})
-	if _, err := New(fake, "restarted").Current(t.Context()); !errors.Is(err, ErrNotRead) {
+	if _, err := New(fake, Config{Entry: "restarted", WatchTimeout: WatchTimeout}).Current(t.Context()); !errors.Is(err, ErrNotRead) {
 		t.Errorf("a table that is not read: %v", err)
 	}
 	fake.set(func() { fake.down = true })
-	if _, err := New(fake, "restarted").Current(t.Context()); !errors.Is(err, objects.ErrUnavailable) {
+	if _, err := New(fake, Config{Entry: "restarted", WatchTimeout: WatchTimeout}).Current(t.Context()); !errors.Is(err, objects.ErrUnavailable) {
 		t.Errorf("no answer: %v", err)
 	}
 }
