Choose upstreams by the entry's own counts, and test the dispatcher under load

Cause: entries chose among ranks by the coordinator's board, sampling by how far each rank lay below a level. Small weights of what others have only add noise. Change: the least of this entry's own requests, its own failure domain first; boards tell slow ranks and full slots only. Failed requests count against their upstream, not against their own ID, when the entry asks itself whether it is cut off. Refusals, choices and lists of upstreams are logged with what decided them.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -18,6 +18,7 @@
 	"github.com/acaciaglade/acaciaglade/lab/objectapi"
 	"github.com/acaciaglade/acaciaglade/lab/orders"
 	"github.com/acaciaglade/acaciaglade/lab/slope"
+	"github.com/acaciaglade/acaciaglade/lab/soak"
 	"github.com/acaciaglade/acaciaglade/lab/virtual"
 	"github.com/acaciaglade/acaciaglade/pkg/server"
 )
@@ -111,6 +112,7 @@
 		{"virtual", "Run the decisions in virtual time", &virtual.Command{}},
 		{"demo", "Run a whole deployment and send it traffic", &demo.Command{}},
 		{"experiment", "Run an experiment and write its results", &experiment.Command{}},
+		{"soak", "Harm the programs as they run on the platform, and check what they promise", &soak.Command{}},
 		{"slope", "Measure how use grows with one size", &slope.Command{}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.description, command.description, command.data); err != nil {
--- a/lab/link/link.go
+++ b/lab/link/link.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -19,6 +20,10 @@
 	mu         sync.Mutex
 	cut        bool
 	breakAfter int
+	delay      time.Duration
+	// hung holds new connections without forwarding them, deaf drops what the target
+	// sends.
+	hung, deaf bool
 	pairs      map[*pair]bool
 }
 
@@ -32,8 +37,11 @@
 }
 
 // New returns a link to a target address. It listens on loopback.
-func New(target string) (*Link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Link, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt returns a link that listens at an address.
+func NewAt(address, target string) (*Link, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -51,6 +59,37 @@
 	l.Cut()
 }
 
+// SetDelay delays what is forwarded, in both directions.
+func (l *Link) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// SetHung makes new connections hang: they are taken, and nothing is forwarded.
+func (l *Link) SetHung(hung bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hung = hung
+}
+
+// SetDeaf drops what the target sends, while what it is sent still arrives. What was
+// dropped is lost, so a connection on which it was must not be used again.
+func (l *Link) SetDeaf(deaf bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deaf = deaf
+}
+
+// Reset closes all open connections. New ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.close()
+	}
+}
+
 // Cut closes all connections and refuses new ones.
 func (l *Link) Cut() {
 	l.mu.Lock()
@@ -98,12 +137,17 @@
 
 func (l *Link) forward(client net.Conn) {
 	l.mu.Lock()
-	cut := l.cut
+	cut, hung := l.cut, l.hung
 	l.mu.Unlock()
 	if cut {
 		client.Close()
 		return
 	}
+	if hung {
+		_, _ = io.Copy(io.Discard, client)
+		client.Close()
+		return
+	}
 	server, err := net.Dial("tcp", l.target)
 	if err != nil {
 		client.Close()
@@ -137,6 +181,14 @@
 			return
 		default:
 		}
+		l.mu.Lock()
+		delay, deaf := l.delay, l.deaf && answers
+		l.mu.Unlock()
+		time.Sleep(delay)
+		if deaf && n > 0 {
+			p.once.Do(func() { close(p.silent) })
+			continue
+		}
 		broken := false
 		if answers {
 			n, broken = l.take(n)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,10 +47,24 @@
 type Decision struct {
 	ID       string
 	Upstream Upstream
+	// Load is how many requests the upstream was thought to have, with this one.
+	Load int
+	// BoardAge is the age of what its coordinator knew of it, negative when nothing
+	// is known.
+	BoardAge time.Duration
 	// Refusal is set when the request is refused.
 	Refusal *problem.Problem
 }
 
+// Why says what decided for the upstream.
+func (d *Decision) Why() string {
+	known := "no board"
+	if d.BoardAge >= 0 {
+		known = fmt.Sprintf("board %d ms old", d.BoardAge.Milliseconds())
+	}
+	return fmt.Sprintf("has %d of %d requests, %s", d.Load, d.Upstream.Slots, known)
+}
+
 // Dispatcher is the state of one entry.
 type Dispatcher struct {
 	cfg      Config
@@ -202,6 +217,14 @@
 	delete(s.waiting, id)
 }
 
+// SentTo returns the upstream that a request was sent to, empty when it was to none.
+func (d *Dispatcher) SentTo(id string) string {
+	if a, ok := d.sent[id]; ok {
+		return a.candidate.ID
+	}
+	return ""
+}
+
 // Part records that a part of an answer has arrived.
 func (d *Dispatcher) Part(id string, now time.Time) {
 	a, ok := d.sent[id]
@@ -272,7 +295,7 @@
 		for _, it := range expired {
 			p := d.blocked(s, now)
 			if p == nil {
-				p = d.later(problem.ReasonOverloaded, s.wait(now))
+				p = d.later(problem.ReasonOverloaded, s.wait(now), s.queueText(now))
 			}
 			delete(s.waiting, it.ID)
 			decisions = append(decisions, Decision{ID: it.ID, Refusal: p})
@@ -306,11 +329,19 @@
 		chosen.sends.add(now)
 		s.granted.add(now)
 		d.sent[it.ID] = &sent{service: s, candidate: chosen, at: now}
-		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream})
+		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream, Load: chosen.occupied(now), BoardAge: s.boardAge(now)})
 	}
 	return decisions
 }
 
+// boardAge is the age of the latest board, negative when there is none.
+func (s *service) boardAge(now time.Time) time.Duration {
+	if s.boardAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.boardAt)
+}
+
 // room reports whether a candidate can take one more request.
 func (d *Dispatcher) room(s *service, c *candidate, now time.Time) bool {
 	if c.Group.Name != "" && !c.Group.Open || c.occupied(now) >= c.Slots {
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -32,9 +31,6 @@
 	// loadLife is how long what was told of an upstream's requests counts; a request
 	// takes about as long.
 	loadLife = 1500 * time.Millisecond
-	// boardInterval is the time between two boards, in which no entry sees what the
-	// others send.
-	boardInterval = 200 * time.Millisecond
 	// slowPace is the pace from which on a rank gets no requests while others have
 	// room: each pass lasts as long as the slowest rank's part.
 	slowPace = 1.4
@@ -109,14 +105,17 @@
 	return decisions
 }
 
-// choose returns the upstream for a request, or nil when none has room.
+// choose returns the upstream for a request, or nil when none has room. Of those with
+// room it is one with the least requests of this entry. What others have there is
+// left out: it is known late, and entries that go by the same late knowledge crowd the
+// same upstreams.
 func (d *Dispatcher) choose(s *service, r *Request, now time.Time) *candidate {
 	var fast, slow []option
 	for _, c := range s.candidates {
 		if !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
 			continue
 		}
-		o := option{candidate: c, load: float64(c.occupied(now))}
+		o := option{candidate: c, load: float64(c.own.now)}
 		if c.FailureDomain != d.cfg.FailureDomain {
 			o.load += remoteWeight
 		}
@@ -129,9 +128,6 @@
 	if len(fast) == 0 {
 		fast = slow
 	}
-	if now.Sub(s.boardAt) < loadLife {
-		return d.spread(s, fast, now)
-	}
 	return d.least(fast)
 }
 
@@ -163,44 +159,6 @@
 	return best
 }
 
-// spread returns an option at random, the likelier the further its load lies below
-// the level to which the requests of all entries fill the upstreams until the next
-// board. Entries that see the same board so don't all choose the same upstream.
-func (d *Dispatcher) spread(s *service, options []option, now time.Time) *candidate {
-	if len(options) == 0 {
-		return nil
-	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.load, b.load) })
-	sends := float64(s.granted.count(now)*max(1, d.parts)) * float64(boardInterval) / float64(windowLength)
-	level := fill(options, max(1, sends))
-	total := 0.0
-	for _, o := range options {
-		total += max(0, level-o.load)
-	}
-	pick := d.rand.Float64() * total
-	for _, o := range options {
-		pick -= max(0, level-o.load)
-		if pick < 0 {
-			return o.candidate
-		}
-	}
-	return options[0].candidate
-}
-
-// fill returns the level to which an amount fills options in the order of their
-// loads.
-func fill(options []option, amount float64) float64 {
-	sum := 0.0
-	for i, o := range options {
-		sum += o.load
-		level := (sum + amount) / float64(i+1)
-		if i+1 == len(options) || level <= options[i+1].load {
-			return level
-		}
-	}
-	return 0
-}
-
 // Coordinators returns the agents of the lowest ranks of each group, in the order of
 // the ranks.
 func (d *Dispatcher) Coordinators(standbys int) map[string][]string {
--- a/pkg/dispatch/pulse.go
+++ b/pkg/dispatch/pulse.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -53,6 +54,18 @@
 // stopped records that the group has refused work as stopped.
 func (p *pulse) stopped(now time.Time) { p.stopAt = now }
 
+// text says what is known of a group that stands still.
+func (p *pulse) text(open bool, now time.Time) string {
+	switch {
+	case !open:
+		return "the platform lists no open group"
+	case !p.stopAt.IsZero() && now.Sub(p.stopAt) < stoppedFor:
+		return fmt.Sprintf("a rank said %d ms ago that its group stands still", now.Sub(p.stopAt).Milliseconds())
+	default:
+		return fmt.Sprintf("%d streams are silent for %d ms, a pass takes %d ms", p.running, now.Sub(p.beatAt).Milliseconds(), p.pass.Milliseconds())
+	}
+}
+
 // still reports whether the group does nothing now, as far as can be told.
 func (p *pulse) still(now time.Time) bool {
 	if !p.stopAt.IsZero() && now.Sub(p.stopAt) < stoppedFor {
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -26,7 +27,7 @@
 		return nil
 	}
 	if wait := s.wait(now); wait > d.cfg.MaxWait {
-		return d.later(problem.ReasonOverloaded, wait)
+		return d.later(problem.ReasonOverloaded, wait, s.queueText(now))
 	}
 	return nil
 }
@@ -34,7 +35,7 @@
 // blocked returns why nothing of a service can run now, or nil.
 func (d *Dispatcher) blocked(s *service, now time.Time) *problem.Problem {
 	if d.parts == 0 {
-		return d.later(problem.ReasonNotReady, leastReturn)
+		return d.later(problem.ReasonNotReady, leastReturn, "the other entries are not known yet")
 	}
 	usable, open := false, false
 	for _, c := range s.candidates {
@@ -45,9 +46,9 @@
 	}
 	switch {
 	case !usable:
-		return d.later(problem.ReasonNoUpstream, mostReturn)
+		return d.later(problem.ReasonNoUpstream, mostReturn, fmt.Sprintf("%d upstreams are listed", len(s.candidates)))
 	case !open || s.pulse.still(now):
-		return d.later(problem.ReasonGroupStopped, mostReturn)
+		return d.later(problem.ReasonGroupStopped, mostReturn, s.pulse.text(open, now))
 	default:
 		return nil
 	}
@@ -70,9 +71,15 @@
 	return time.Duration(float64(s.queue.Len()+1) / perSecond * float64(time.Second))
 }
 
+// queueText says what the predicted wait follows from.
+func (s *service) queueText(now time.Time) string {
+	return fmt.Sprintf("%d requests wait, %d were sent on in the last second, predicted wait %d ms",
+		s.queue.Len(), s.granted.count(now), s.wait(now).Milliseconds())
+}
+
 // later returns a refusal with the time after which to come back.
-func (d *Dispatcher) later(reason problem.Reason, wait time.Duration) *problem.Problem {
+func (d *Dispatcher) later(reason problem.Reason, wait time.Duration, detail string) *problem.Problem {
 	wait = min(mostReturn, max(leastReturn, wait))
 	spread := 1 - returnSpread*d.rand.Float64()
-	return problem.New(reason, "").WithRetryAfter(time.Duration(spread * float64(wait)))
+	return problem.New(reason, detail).WithRetryAfter(time.Duration(spread * float64(wait)))
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -271,6 +271,9 @@
 		fields["first_part_ms"] = r.FirstPart.Sub(r.Received).Milliseconds()
 		fields["longest_pause_ms"] = r.LongestPause.Milliseconds()
 	}
+	if p != nil || len(r.Tried) > 1 {
+		fields["decisions"] = r.Trail
+	}
 	if p == nil {
 		e.log.WithFields(fields).Info("request served")
 		return
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -3,6 +3,7 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -101,7 +102,7 @@
 		if err != nil {
 			return j.queueRefusal(err)
 		}
-		r.Decide("send an attempt", "the upstream has room", upstream.Report.Upstream)
+		r.Decide("send an attempt", cmp.Or(upstream.Why, "the upstream has room"), upstream.Report.Upstream)
 		action, err := j.attempt(ctx, upstream)
 		if action != retry.Again {
 			return err
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -47,12 +47,14 @@
 	dispatcher *dispatch.Dispatcher
 	waiting    map[string]chan answer
 	boards     *boards
-	hosts      []hosts.Host
-	reach      *reach.Watch
-	cutOff     bool
-	lost       chan struct{}
-	probing    bool
-	nextProbe  time.Time
+	// listed are the upstreams that the platform lists now, by ID.
+	listed    map[string]dispatch.Upstream
+	hosts     []hosts.Host
+	reach     *reach.Watch
+	cutOff    bool
+	lost      chan struct{}
+	probing   bool
+	nextProbe time.Time
 }
 
 // NewDirect returns a view without upstreams. probe opens a connection to an
@@ -182,6 +184,7 @@
 	return answer{upstream: Upstream{
 		Report:  api.Report{Upstream: u.ID, FailureDomain: u.FailureDomain, Service: u.Service, Incarnation: u.Incarnation},
 		Address: u.Address,
+		Why:     d.Why(),
 		Lost:    f.lost,
 	}}
 }
@@ -198,6 +201,9 @@
 
 // SetUpstreams takes the upstreams that the platform lists now.
 func (f *Direct) SetUpstreams(list []dispatch.Upstream) {
+	f.mu.Lock()
+	f.logChanges(list)
+	f.mu.Unlock()
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.SetUpstreams(list, time.Now()) })
 }
 
@@ -252,12 +258,12 @@
 func (f *Direct) Release(requestID string, failure problem.Reason) {
 	now, kind := time.Now(), failureOf(failure)
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision {
-		switch kind {
+		switch upstream := d.SentTo(requestID); kind {
 		case dispatch.FailureBroken:
 		case dispatch.FailureUnreachable:
-			f.reached(requestID, false, now)
+			f.reached(upstream, false, now)
 		default:
-			f.reached(requestID, true, now)
+			f.reached(upstream, true, now)
 		}
 		return d.Ended(requestID, kind, now)
 	})
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -50,6 +50,8 @@
 	Address string
 	// Entry is the name of the entry that was granted the upstream.
 	Entry string
+	// Why says what decided for the upstream, empty when it had room.
+	Why string
 	// Virtual is the organisation's virtual time.
 	Virtual float64
 	// Lost is closed when the entry finds that it can't reach any upstream. It may
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
@@ -81,11 +82,19 @@
 	Reply Reply
 	// Decisions takes the decisions about the request. It may be nil.
 	Decisions *decisionlog.Log
+	// Trail is the first decisions about the request, as text for the log.
+	Trail []string
 }
 
+// maxTrail is how many decisions a trail keeps: some for each attempt.
+const maxTrail = 24
+
 // Decide records a decision about the request. The reason and the upstream may
 // be empty.
 func (r *Request) Decide(what, why, upstream string) {
+	if len(r.Trail) < maxTrail {
+		r.Trail = append(r.Trail, strings.TrimSpace(upstream+" "+what+": "+why))
+	}
 	if r.Decisions == nil {
 		return
 	}
