Void orders by naming their map, and read groups by all of their ranks

The one that takes over voided the round by a prepare with the whole map to 62 ranks, one by one as their answers came: 8 KB each through its 8 Mbit/s link, where every call then timed out. The group stood still from 11.1 to 16.7 s. An agent's wait for a copy (220 ms) was longer than the call that asked for it (200 ms). Change: agents remember the maps that they were sent; a voiding order names one, and its map is only sent when an agent does not know it. A coordinator that takes over recalls the map in force the same way. Orders that follow from results that came together go out together, and nobody waits for a copy that a voiding order does not begin. A group counts as open only when all ranks of its newest epoch say so. Orders are logged, those without an answer in one line for all ranks.

--- a/pkg/dispatch/choose_test.go
+++ b/pkg/dispatch/choose_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -104,7 +107,7 @@
 func TestOutLeavingAndBrokenGetNothing(t *testing.T) {
 	list := ranks(4, 8)
 	list[0].Leaving = true
-	list[1].Group.Open = false
+	list[1].Group = Group{Name: "broken", Epoch: 1, Size: 1}
 	d := newDispatcher(1, 1, list)
 	d.SetIndex(table.NewIndex(&table.Table{FailureDomains: []table.FailureDomain{{Name: "domain-2", Out: true}}}), t0)
 	if got := granted(t, arrive(d, "r", 6, t0)); got["rank-3"] != 6 {
@@ -128,3 +131,27 @@
 		t.Errorf("thought to have %d after one ended", got)
 	}
 }
+
+// TestRanksThatEndedDoNotSpeakForTheirGroup answers the pattern of a loss of power: all
+// ranks start anew and register, while what they registered before stays listed for
+// seconds and says that the group is open.
+func TestRanksThatEndedDoNotSpeakForTheirGroup(t *testing.T) {
+	old := ranks(6, 8)
+	d := newDispatcher(1, 1, old)
+	fresh := ranks(6, 8)
+	for i := range fresh {
+		fresh[i].ID, fresh[i].Incarnation = fmt.Sprint("new-", i), "2"
+		fresh[i].Group.Open = false
+	}
+	d.SetUpstreams(append(slices.Clone(old), fresh[:1]...), t0)
+	refusedAs(t, d.Arrive(request("a", t0), t0), problem.ReasonGroupStopped)
+	for i := range fresh {
+		fresh[i].Group.Open, fresh[i].Group.Epoch = true, 2
+	}
+	d.SetUpstreams(append(slices.Clone(old), fresh...), t0)
+	for id, n := range granted(t, arrive(d, "b", 12, t0)) {
+		if !strings.HasPrefix(id, "new-") {
+			t.Errorf("%d requests sent to %s, which has ended", n, id)
+		}
+	}
+}
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -44,7 +44,7 @@
 	for _, c := range s.candidates {
 		if c.usable() {
 			usable = true
-			open = open || c.Group.Name == "" || c.Group.Open
+			open = open || c.open
 		}
 	}
 	switch {
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -70,7 +70,9 @@
 type candidate struct {
 	Upstream
 	out bool
-	own own
+	// open is false while the candidate's group runs nothing.
+	open bool
+	own  own
 	// others is how many attempts of other entries were there at othersAt.
 	others   int
 	othersAt time.Time
--- a/pkg/expertmap/holdswitch/due.go
+++ b/pkg/expertmap/holdswitch/due.go
@@ -87,7 +87,7 @@
 		c.highest = c.voidVersion
 		c.voidMap = filler.WithVersion(c.voidVersion)
 	}
-	return Order{Kind: OrderPrepare, Version: c.voidVersion, Map: c.voidMap}, true
+	return Order{Kind: OrderPrepare, Version: c.voidVersion, Map: c.voidMap, Void: true}, true
 }
 
 // filler returns a map that ranks can prepare without copying anything.
--- a/pkg/expertmap/holdswitch/types.go
+++ b/pkg/expertmap/holdswitch/types.go
@@ -55,6 +55,9 @@
 	Step    uint64            `json:"step,omitempty"`
 	// Map is the map to prepare.
 	Map *expertmap.Map `json:"map,omitempty"`
+	// Void is true when the map is prepared only to void earlier orders: nobody waits
+	// until the rank holds it.
+	Void bool `json:"void,omitempty"`
 	// Epoch is that of the group for which the order is meant.
 	Epoch uint64 `json:"epoch,omitempty"`
 	// Fence is the fencing token, for engines that check it.
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -70,6 +70,7 @@
 	log    *logrus.Entry
 	stats  *metrics
 	silent silence
+	maps   mapCache
 	// lost is true while the own rank does not answer.
 	lost bool
 
@@ -91,6 +92,8 @@
 	run *round
 	cmd holdswitch.Command
 	res holdswitch.Result
+	// needsMap is true when the rank's agent does not know the map of the order.
+	needsMap bool
 }
 
 // telling is what a rank told when it was asked without an order.
@@ -136,8 +139,12 @@
 			return
 		case r := <-a.results:
 			if r.run == a.run && a.run != nil {
+				a.run.note(&r)
 				a.run.coordinator.Result(r.cmd, r.res, time.Now())
-				a.step(ctx, time.Now())
+				if len(a.results) == 0 {
+					// Results that come together lead to orders that go out together.
+					a.step(ctx, time.Now())
+				}
 			}
 		case t := <-a.told:
 			if t.run == a.run && a.run != nil {
@@ -149,6 +156,7 @@
 				a.locate(ctx, now)
 			}
 			a.step(ctx, now)
+			a.logUnanswered(now)
 		}
 	}
 }
@@ -256,6 +264,9 @@
 		return
 	}
 	a.survey(ctx, r, now)
+	if r.memory != nil {
+		r.coordinator.SetFiller(r.memory)
+	}
 	a.give(ctx, r, r.coordinator.Step(now))
 	for _, e := range r.coordinator.Events() {
 		a.stats.event(&e)
@@ -284,11 +295,17 @@
 // reach the rank that holds.
 func (a *Agent) give(ctx context.Context, r *round, commands []holdswitch.Command) {
 	for _, batch := range batches(commands) {
-		q, err := newAsk(r.place, batch[0].Order)
+		q, err := a.maps.newAsk(r.place, batch[0].Order, r.mapUnknown)
 		if err != nil {
 			a.log.WithError(err).Error("an order could not be packed; it is given again")
 			continue
 		}
+		if k := q.Order.Kind; k != holdswitch.OrderRead {
+			a.log.WithFields(logrus.Fields{
+				"order": k, "version": q.Order.Version, "step": q.Order.Step, "epoch": r.place.Epoch,
+				"ranks": len(batch), "map_bytes": len(q.Map), "void": q.Order.Void,
+			}).Info("order given")
+		}
 		byRank := make(map[int]holdswitch.Command, len(batch))
 		var others []target
 		for _, cmd := range batch {
@@ -322,10 +339,7 @@
 	if out.Reading != nil {
 		res.State = &out.Reading.State
 	}
-	if res.Verdict == holdswitch.Unanswered {
-		a.log.WithFields(logrus.Fields{"order": cmd.Order.Kind, "rank": cmd.Rank, "version": cmd.Order.Version, "step": cmd.Order.Step}).Warn("rank did not answer an order")
-	}
-	a.results <- result{run: r, cmd: cmd, res: res}
+	a.results <- result{run: r, cmd: cmd, res: res, needsMap: out.NeedsMap}
 }
 
 // batches groups commands with the same order.
--- a/pkg/lockstep/ask.go
+++ b/pkg/lockstep/ask.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
@@ -30,8 +31,8 @@
 	// that it has no answer.
 	orderTimeout = 100 * time.Millisecond
 	// copyPatience is how long an agent waits for its rank to copy what it was told
-	// to prepare, before it answers.
-	copyPatience = 120 * time.Millisecond
+	// to prepare, before it answers. With the order itself it stays below callTimeout.
+	copyPatience = 80 * time.Millisecond
 	// copyInterval is the time between two looks meanwhile.
 	copyInterval = 10 * time.Millisecond
 )
@@ -49,6 +50,8 @@
 	// Order is nil for a question. Its map is in Map, packed.
 	Order *holdswitch.Order `json:"order,omitempty"`
 	Map   []byte            `json:"map,omitempty"`
+	// MapHash names the map when it is left out, as agents were sent it before.
+	MapHash uint64 `json:"map_hash,omitempty"`
 	// Picks asks what each expert was chosen since the asker's last question, Held
 	// which experts the rank holds.
 	Picks bool `json:"picks,omitempty"`
@@ -63,6 +66,8 @@
 	Verdict holdswitch.Verdict `json:"verdict"`
 	// Reading is nil when the rank could not be read.
 	Reading *Reading `json:"reading,omitempty"`
+	// NeedsMap is true when the agent does not know the map that the order names.
+	NeedsMap bool `json:"needs_map,omitempty"`
 	// Picks are packed.
 	Picks []byte `json:"picks,omitempty"`
 	Held  *Held  `json:"held,omitempty"`
@@ -85,23 +90,47 @@
 	return errors.WithStack(gob.NewDecoder(bytes.NewReader(raw)).Decode(v))
 }
 
-// newAsk returns a question with an order, whose map it packs.
-func newAsk(from Place, o holdswitch.Order) (ask, error) {
+// newAsk returns a question with an order, whose map it packs. The map of an order that
+// only voids others is named when this agent was sent it before, as all were then,
+// unless whole is true.
+func (m *mapCache) newAsk(from Place, o holdswitch.Order, whole bool) (ask, error) {
 	q := ask{From: from, Order: &o}
 	if o.Map == nil {
 		return q, nil
 	}
-	packed, err := pack(o.Map.Layers)
-	q.Map, o.Map = packed, nil
-	return q, err
+	packed, err := packLayers(o.Map.Layers)
+	if err != nil {
+		return q, err
+	}
+	o.Map = nil
+	known := m.get(xxhash.Sum64(packed)) != nil
+	q.MapHash = m.keep(o.Version, packed)
+	if whole || !known || !o.Void {
+		q.Map = packed
+	}
+	return q, nil
+}
+
+// complete remembers the map of a question, or adds the one that it names. It reports
+// false when that one is not known.
+func (m *mapCache) complete(q *ask) bool {
+	if len(q.Map) > 0 && q.Order != nil {
+		m.keep(q.Order.Version, q.Map)
+		return true
+	}
+	return q.MapHash == 0 || m.get(q.MapHash) != nil
 }
 
 // order returns the order of a question with its map.
-func (q *ask) order() (holdswitch.Order, error) {
+func (m *mapCache) order(q *ask) (holdswitch.Order, error) {
 	o := *q.Order
-	if len(q.Map) > 0 {
+	packed := q.Map
+	if len(packed) == 0 && q.MapHash != 0 {
+		packed = m.get(q.MapHash)
+	}
+	if len(packed) > 0 {
 		o.Map = &expertmap.Map{Version: o.Version}
-		if err := unpack(q.Map, &o.Map.Layers); err != nil {
+		if err := unpack(packed, &o.Map.Layers); err != nil {
 			return o, err
 		}
 	}
@@ -131,6 +160,12 @@
 func (a *Agent) answerAll(ctx context.Context, q *ask) []answer {
 	own := a.ownPlace()
 	out := make([]answer, len(q.Ranks))
+	if !a.maps.complete(q) {
+		for i, t := range q.Ranks {
+			out[i] = answer{Rank: t.Rank, Verdict: holdswitch.Unanswered, NeedsMap: true}
+		}
+		return out
+	}
 	var asked sync.WaitGroup
 	for i, t := range q.Ranks {
 		asked.Go(func() {
@@ -150,7 +185,7 @@
 func (a *Agent) answerOwn(ctx context.Context, q *ask) answer {
 	out := answer{Verdict: holdswitch.Done}
 	if q.Order != nil && q.Order.Kind != holdswitch.OrderRead {
-		o, err := q.order()
+		o, err := a.maps.order(q)
 		if err != nil {
 			a.log.WithError(err).Warn("an order could not be read; it is refused")
 			return answer{Verdict: holdswitch.Refused}
@@ -185,7 +220,7 @@
 	orderCtx, done := context.WithTimeout(ctx, orderTimeout)
 	defer done()
 	verdict := a.engine.Order(orderCtx, o).Verdict
-	if o.Kind != holdswitch.OrderPrepare || verdict != holdswitch.Done {
+	if o.Kind != holdswitch.OrderPrepare || o.Void || verdict != holdswitch.Done {
 		return verdict
 	}
 	for until := time.Now().Add(copyPatience); time.Now().Before(until); time.Sleep(copyInterval) {
@@ -240,7 +275,7 @@
 	if q.Order == nil {
 		return answer{Verdict: holdswitch.Unanswered}
 	}
-	o, err := q.order()
+	o, err := a.maps.order(q)
 	if err != nil {
 		a.log.WithError(err).Warn("an order could not be read; it is refused")
 		return answer{Verdict: holdswitch.Refused}
--- a/pkg/lockstep/decisions_test.go
+++ b/pkg/lockstep/decisions_test.go
@@ -151,23 +151,58 @@
 // TestOrdersSurviveTheirPacking sends an order with its map through an agent.
 func TestOrdersSurviveTheirPacking(t *testing.T) {
 	m := &expertmap.Map{Version: 4, Layers: []expertmap.Layer{{{0, 2}, {1}}}}
-	q, err := newAsk(Place{Group: "g"}, holdswitch.Order{Kind: holdswitch.OrderPrepare, Version: 4, Map: m})
+	var sender, receiver mapCache
+	q, err := sender.newAsk(Place{Group: "g"}, holdswitch.Order{Kind: holdswitch.OrderPrepare, Version: 4, Map: m}, false)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if q.Order.Map != nil {
 		t.Error("the map is sent twice")
 	}
-	o, err := q.order()
+	o, err := receiver.order(&q)
 	if err != nil || fmt.Sprint(o.Map.Layers) != fmt.Sprint(m.Layers) || o.Map.Version != 4 {
 		t.Errorf("unpacked %+v, %v", o.Map, err)
 	}
 	q.Map = q.Map[:len(q.Map)/2]
-	if _, err := q.order(); err == nil {
+	if _, err := receiver.order(&q); err == nil {
 		t.Error("half a map was taken")
 	}
 }
 
+// TestVoidingOrdersNameTheirMap answers the pattern of a coordinator that takes over:
+// it voids what is under way at all ranks at once, over a slow link. The map that the
+// order carries was sent to every agent before, and must not be sent again.
+func TestVoidingOrdersNameTheirMap(t *testing.T) {
+	var before, next, late mapCache
+	layers := []expertmap.Layer{{{2, 0}, {1}}}
+	first, err := before.newAsk(Place{}, holdswitch.Order{Kind: holdswitch.OrderPrepare, Version: 4, Map: &expertmap.Map{Layers: layers}}, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(first.Map) == 0 || !next.complete(&first) {
+		t.Fatal("a map that nobody knows was only named")
+	}
+	// The next coordinator reads the map from the ranks, which list it in their order.
+	same := &expertmap.Map{Layers: []expertmap.Layer{{{0, 2}, {1}}}}
+	void := holdswitch.Order{Kind: holdswitch.OrderPrepare, Version: 5, Map: same, Void: true}
+	q, err := next.newAsk(Place{}, void, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(q.Map) != 0 || !next.complete(&q) {
+		t.Error("a known map was sent again")
+	}
+	if o, err := next.order(&q); err != nil || fmt.Sprint(o.Map.Layers) != fmt.Sprint(same.Layers) || o.Map.Version != 5 {
+		t.Errorf("the named map is %+v, %v", o.Map, err)
+	}
+	if late.complete(&q) {
+		t.Error("an agent that started since claims to know the map")
+	}
+	if q, err = next.newAsk(Place{}, void, true); err != nil || len(q.Map) == 0 {
+		t.Errorf("the map was left out for agents that don't know it: %v", err)
+	}
+}
+
 // TestVersionsGrowAndDiffer draws the versions of coordinators that propose in the same
 // second, and of one that must go above a version from the future.
 func TestVersionsGrowAndDiffer(t *testing.T) {
--- a/pkg/lockstep/round.go
+++ b/pkg/lockstep/round.go
@@ -50,6 +50,15 @@
 	told  int
 	asked int
 	held  map[int]*Held
+	// recalled is the version that was last looked for among the maps that this agent
+	// was sent, memory the map if it was found.
+	recalled expertmap.Version
+	memory   *expertmap.Map
+	// mapUnknown is true once an agent did not know a map that an order named.
+	mapUnknown bool
+	// unanswered are the ranks that did not answer since nextUnanswered was set.
+	unanswered     map[orderKey][]int
+	nextUnanswered time.Time
 	// readings are the latest of each rank, readAt when they were asked for.
 	readings []Reading
 	readAt   []time.Time
@@ -70,7 +79,7 @@
 func newRound(place Place, size expertmap.Size, shape Shape) *round {
 	return &round{
 		place: place, size: size, shape: shape, popularity: newPopularity(size),
-		held: make(map[int]*Held), members: make(map[int]Member),
+		held: make(map[int]*Held), unanswered: make(map[orderKey][]int), members: make(map[int]Member),
 		readings: make([]Reading, size.Ranks), readAt: make([]time.Time, size.Ranks),
 		coordinator: holdswitch.New(holdswitch.Config{
 			Rank: place.Rank, Ranks: place.Ranks, Epoch: place.Epoch, Margin: margin,
@@ -170,6 +179,7 @@
 	state := reading.State
 	state.Age += now.Sub(t.asked)
 	r.coordinator.Observe(rank, state, now)
+	a.recall(r, state.Map)
 	if t.answer.Held != nil {
 		r.held[rank] = t.answer.Held
 		r.assemble()
@@ -182,6 +192,19 @@
 	}
 }
 
+// recall takes the map in force from what this agent was once sent, so that a
+// coordinator that takes over need not ask all ranks for it.
+func (a *Agent) recall(r *round, version expertmap.Version) {
+	if r.recalled == version {
+		return
+	}
+	r.recalled, r.memory = version, nil
+	if m := a.maps.version(version); m != nil && m.Check(r.size) == nil {
+		r.memory = m
+		r.coordinator.SetCurrent(m)
+	}
+}
+
 // addPicks adds a rank's picks to the batch.
 func (a *Agent) addPicks(r *round, rank int, packed []byte, now time.Time) {
 	var picks []uint64
@@ -241,7 +264,7 @@
 // fill makes a map from what the ranks that have told hold. The others get the
 // experts that are left, which one of them must hold.
 func (r *round) fill() {
-	if len(r.held) < r.size.Ranks-1 {
+	if r.memory != nil || len(r.held) < r.size.Ranks-1 {
 		return
 	}
 	m := &expertmap.Map{Layers: make([]expertmap.Layer, r.size.Layers)}
