Give slow ranks nothing while any rank is sound

The slow rank's part grows with its requests, and it got some whenever the others were full. Ruled out: refusing streams that can't end in time at the pass of the moment: those that came after 21 s ended once the rank was sound again. Change: slow ranks get requests only when all are slow.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -145,6 +145,25 @@
 			}
 		}
 	}},
+	{"upstream leaves", func(w *world, r *rand.Rand, _ time.Duration) func() {
+		u := w.upstreams[w.shape.Ranks+r.IntN(w.shape.Plain)]
+		if !u.isAlive() {
+			return nil
+		}
+		if err := u.drain(); err != nil {
+			w.ledger.Violate("the stand-in can't announce that it leaves: %v", err)
+		}
+		return func() {
+			time.Sleep(drainAfter)
+			if !u.isAlive() {
+				return
+			}
+			u.crash()
+			if err := u.start(); err != nil {
+				w.ledger.Violate("the stand-in %s can't start again: %v", u.host, err)
+			}
+		}
+	}},
 	{"experts shift", func(w *world, r *rand.Rand, _ time.Duration) func() {
 		w.group.mu.Lock()
 		defer w.group.mu.Unlock()
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -28,10 +28,9 @@
 	// restarting lets one restart end before the next begins.
 	restarting sync.Mutex
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	done    chan struct{}
-	stopped bool
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 	// harmed is until when a fault may excuse what the process does.
 	harmed time.Time
 	// ended counts ends that the soak did not cause.
--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -49,10 +49,12 @@
 	seq      int
 	alive    bool
 	draining bool
-	running  int
-	lives    int
-	faults   upstreamFaults
-	rand     *rand.Rand
+	// drainAt is when it announced that it leaves, zero while it doesn't.
+	drainAt time.Time
+	running int
+	lives   int
+	faults  upstreamFaults
+	rand    *rand.Rand
 }
 
 // slots is how many requests an upstream runs at once.
@@ -70,7 +72,7 @@
 	u.mu.Lock()
 	u.lives++
 	u.id = fmt.Sprintf("i-%s-%d", u.host, u.lives)
-	u.born, u.alive, u.draining, u.running = time.Now().UnixMilli(), true, false, 0
+	u.born, u.alive, u.draining, u.drainAt, u.running = time.Now().UnixMilli(), true, false, time.Time{}, 0
 	u.own = l.Addr().String()
 	u.srv = &http.Server{Handler: u}
 	u.mu.Unlock()
@@ -100,7 +102,11 @@
 	u.mu.Lock()
 	u.draining = true
 	u.mu.Unlock()
-	return u.register()
+	err := u.register()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.drainAt = time.Now()
+	return err
 }
 
 // beat renews the registration until the upstream ends.
@@ -200,10 +206,17 @@
 
 // record tells the ledger that a request runs here.
 func (u *upstream) record(r *http.Request, attempt string) {
+	now := time.Now()
+	u.mu.Lock()
+	drainAt := u.drainAt
+	u.mu.Unlock()
+	if !drainAt.IsZero() && now.Sub(drainAt) > drainAfter && u.ledger.inTouch(drainAt.Add(-touchSlack), now) {
+		u.ledger.Violate("%s ran %s %v after it announced that it leaves", u.id, attempt, now.Sub(drainAt))
+	}
 	u.ledger.Run(&arrival{
 		id: attempt, path: r.URL.Path, service: u.service, upstream: u.id,
 		organisation: r.Header.Get("X-Tenant"), key: r.Header.Get("X-Api-Key"),
-	}, time.Now())
+	}, now)
 }
 
 // plain runs plain work.
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -264,7 +264,8 @@
 		},
 		"services": []map[string]any{
 			{"name": modelService, "max-conns": 200, "engine": engine},
-			{"name": services[0], "max-conns": 200}, {"name": services[1], "max-conns": 200},
+			{"name": services[0], "max-conns": 200},
+			{"name": services[1], "max-conns": 200},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 5000, "idle-timeout-ms": 20000},
 		"tenants": tenants,
--- a/pkg/dispatch/choose_test.go
+++ b/pkg/dispatch/choose_test.go
@@ -21,6 +21,11 @@
 	if got := granted(t, arrive(d, "a", 20, t0)); got["rank-2"] != 0 {
 		t.Errorf("the slow rank got %d requests", got["rank-2"])
 	}
+	for i := range 6 {
+		if got := granted(t, d.Arrive(request(fmt.Sprint("full-", i), t0), t0)); got["rank-2"] != 0 {
+			t.Error("the slow rank got a request when the others were full")
+		}
+	}
 	later := t0.Add(200 * time.Millisecond)
 	d.SetBoard(boardOf(later, []int{7, 7, 0, 6}), later)
 	if got := granted(t, arrive(d, "b", 5, later)); got["rank-2"] == 0 {
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -34,8 +34,8 @@
 	// boardUse is for how long after its latest request an entry still asks how the
 	// ranks of a group do.
 	boardUse = 5 * time.Second
-	// slowPace is the pace from which on a rank gets no requests while others have
-	// room: each pass lasts as long as the slowest rank's part.
+	// slowPace is the pace from which on a rank gets no requests unless all are slow:
+	// each pass lasts as long as the slowest rank's part, which grows with its requests.
 	slowPace = 1.4
 )
 
@@ -162,8 +162,9 @@
 // same upstreams.
 func (d *Dispatcher) choose(s *service, r *Request, now time.Time) *candidate {
 	var fast, slow []option
-	full := d.full(s, now)
+	full, sound := d.full(s, now), false
 	for _, c := range s.candidates {
+		sound = sound || c.usable() && c.pace < slowPace
 		if full[c.Group.Name] || !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
 			continue
 		}
@@ -177,7 +178,7 @@
 			fast = append(fast, o)
 		}
 	}
-	if len(fast) == 0 {
+	if !sound {
 		fast = slow
 	}
 	return d.least(fast)
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -216,7 +216,12 @@
 	}
 	j.silent = time.AfterFunc(j.silence(), cancel)
 	defer j.silent.Stop()
-	return j.keep(step(ctx))
+	result := step(ctx)
+	if result.Refusal != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// What the connection says is only that it was closed for this.
+		result.Refusal.Detail = timeLimit
+	}
+	return j.keep(result)
 }
 
 // ask asks for the state of the request.
@@ -226,6 +231,9 @@
 	return j.keep(j.exchange.Ask(ctx, u, j.state.Attempts))
 }
 
+// timeLimit is the detail of an attempt that ended because the request's time did.
+const timeLimit = "the request's time limit has passed"
+
 // keep keeps the refusal of a result.
 func (j *job) keep(result Result) Result {
 	if result.Refusal != nil {
--- a/pkg/lockstep/unanswered.go
+++ b/pkg/lockstep/unanswered.go
@@ -13,7 +13,7 @@
 // Bounds of the log of orders without an answer.
 const (
 	// unansweredInterval is the time between two lines about the same order.
-	unansweredInterval = 250 * time.Millisecond
+	unansweredInterval = time.Second
 	// namedRanks is how many ranks a line names.
 	namedRanks = 16
 )
@@ -45,6 +45,7 @@
 	r.nextUnanswered = now.Add(unansweredInterval)
 	for key, ranks := range r.unanswered {
 		slices.Sort(ranks)
+		ranks = slices.Compact(ranks)
 		a.log.WithFields(logrus.Fields{
 			"order": key.kind, "version": key.version, "step": key.step, "epoch": r.place.Epoch,
 			"count": len(ranks), "ranks": ranks[:min(namedRanks, len(ranks))],
