--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -79,3 +79,14 @@
 	p.Ran = ran
 	return p
 }
+
+// AtEntry reports whether the refusal is for what this entry lacks, so that another
+// entry may serve the same request.
+func (p *Problem) AtEntry() bool {
+	switch p.Reason {
+	case ReasonNotReady, ReasonStaleKeys, ReasonEntryCutOff, ReasonStopping:
+		return true
+	default:
+		return false
+	}
+}
