Tell callers that another entry can serve to come back at once

Cause: a request that an entry refuses for want of the store's proof, or while it starts, was told to come back in a second, too late to be on time. Ruled out: the same for an entry that is cut off from upstreams; it predicts when the balancer has noticed. Change: such refusals say 150 ms; the caller's new connection leads elsewhere.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -51,6 +51,9 @@
 	// ServeWhileLeaving is true when requests that still arrive while the entry
 	// leaves are served: callers keep open connections until it is gone.
 	ServeWhileLeaving bool
+	// ElsewhereAfter is the time after which a caller comes back that another entry can
+	// serve at once, 0 for the time that the reason of the refusal names.
+	ElsewhereAfter time.Duration
 	// CeilingBurst is the time for which an unused ceiling can be saved up.
 	CeilingBurst time.Duration
 	// Deadline and Attempt are the settings of the filters.
@@ -242,6 +245,10 @@
 		return nil
 	}
 	p := asProblem(err)
+	if e.cfg.ElsewhereAfter > 0 && p.AtEntry() && p.Reason != problem.ReasonEntryCutOff {
+		// An entry that is cut off knows itself when callers are sent elsewhere.
+		p = p.WithRetryAfter(e.cfg.ElsewhereAfter)
+	}
 	p.RequestID = r.ID
 	e.accounts.ended(r, p)
 	e.logEnd(r, p)
