--- a/lab/soak/group.go
+++ b/lab/soak/group.go
@@ -149,13 +149,6 @@
 	time.AfterFunc(stallTook, g.wake)
 }
 
-// isAlive reports whether the upstream is alive.
-func (u *upstream) isAlive() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.alive
-}
-
 // wake lets what waits for a pass look again.
 func (g *group) wake() {
 	g.mu.Lock()
--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -83,6 +83,13 @@
 	return u.register()
 }
 
+// isAlive reports whether the upstream is alive.
+func (u *upstream) isAlive() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.alive
+}
+
 // crash ends the upstream without warning. Its registration stays for a while.
 func (u *upstream) crash() {
 	u.mu.Lock()
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -218,26 +218,6 @@
 	return nil
 }
 
-// configured records what a configuration that was just written allows.
-func (l *ledger) configured(keys map[string]string, service string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for key, life := range l.keys {
-		if life.takenAt.IsZero() && keys[life.organisation] != key {
-			life.takenAt = now
-			l.keys[key] = life
-		}
-	}
-	for organisation, key := range keys {
-		if _, ok := l.keys[key]; !ok {
-			l.keys[key] = keyLife{organisation: organisation, madeAt: now}
-		}
-	}
-	if n := len(l.services); n == 0 || l.services[n-1].service != service {
-		l.services = append(l.services, serviceLife{at: now, service: service})
-	}
-}
-
 // config is the configuration. The caller holds the lock.
 func (w *world) config(status string, keys map[string]string) map[string]any {
 	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
