Forget an old pace, and describe the dispatcher as it is

Cause: a rank that was told to be slow got nothing for as long as no newer board came, so also when its coordinator and all standbys were gone. Ruled out: a pace measured by entries (all streams of a group slow alike). Change: a pace counts for five seconds.

--- a/pkg/dispatch/choose_test.go
+++ b/pkg/dispatch/choose_test.go
@@ -160,3 +160,18 @@
 		}
 	}
 }
+
+// TestOldPaceIsForgotten lets the coordinator fall silent after it told of a slow rank:
+// the rank gets work again, as nobody would tell that it has recovered.
+func TestOldPaceIsForgotten(t *testing.T) {
+	d := newDispatcher(1, 1, ranks(2, 8))
+	board := boardOf(t0, []int{0, 0})
+	board.Ranks[1].Pace = 3
+	d.SetBoard(board, t0)
+	if got := granted(t, arrive(d, "a", 4, t0)); got["rank-1"] != 0 {
+		t.Fatalf("the slow rank got %d requests", got["rank-1"])
+	}
+	if got := granted(t, arrive(d, "b", 4, t0.Add(boardUse))); got["rank-1"] == 0 {
+		t.Error("the rank got nothing long after anybody said that it is slow")
+	}
+}
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -32,7 +32,7 @@
 	// takes about as long.
 	loadLife = 1500 * time.Millisecond
 	// boardUse is for how long after its latest request an entry still asks how the
-	// ranks of a group do.
+	// ranks of a group do, and for how long it goes by their pace.
 	boardUse = 5 * time.Second
 	// slowPace is the pace from which on a rank gets no requests unless all are slow:
 	// each pass lasts as long as the slowest rank's part, which grows with its requests.
@@ -77,6 +77,12 @@
 	c.others, c.othersAt = max(0, total-c.own.at(at)), at
 }
 
+// slow reports whether the candidate was lately known to be slow. Without a newer board
+// it counts as sound again.
+func (c *candidate) slow(now time.Time) bool {
+	return c.pace >= slowPace && now.Sub(c.paceAt) < boardUse
+}
+
 // occupied estimates how many requests the candidate has.
 func (c *candidate) occupied(now time.Time) int {
 	age := now.Sub(c.othersAt)
@@ -99,7 +105,7 @@
 			taken = true
 			total += b.Ranks[g.Rank].Requests
 			slots += c.Slots
-			c.pace = b.Ranks[g.Rank].Pace
+			c.pace, c.paceAt = b.Ranks[g.Rank].Pace, b.At
 			c.tell(b.Ranks[g.Rank].Requests, b.At)
 		}
 		if taken {
@@ -164,7 +170,7 @@
 	var fast, slow []option
 	full, sound := d.full(s, now), false
 	for _, c := range s.candidates {
-		sound = sound || c.usable() && c.pace < slowPace
+		sound = sound || c.usable() && !c.slow(now)
 		if full[c.Group.Name] || !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
 			continue
 		}
@@ -172,7 +178,7 @@
 		if c.FailureDomain != d.cfg.FailureDomain {
 			o.load += remoteWeight
 		}
-		if c.pace >= slowPace {
+		if c.slow(now) {
 			slow = append(slow, o)
 		} else {
 			fast = append(fast, o)
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -76,8 +76,9 @@
 	// others is how many attempts of other entries were there at othersAt.
 	others   int
 	othersAt time.Time
-	// pace is above 1 while the upstream is known to be slow.
+	// pace is above 1 while the upstream is known to be slow, paceAt when it was told.
 	pace       float64
+	paceAt     time.Time
 	avoidUntil time.Time
 	failures   int
 	sends      window
--- a/pkg/lockstep/doc.go
+++ b/pkg/lockstep/doc.go
@@ -7,6 +7,12 @@
 // it reads the other agents, so there are no further messages; only the first few
 // ranks stand by. Two coordinators at once do no harm.
 //
-// An order goes through the agent beside its rank. When that agent does not
-// answer, it goes straight to the engine: orders are safe to repeat.
+// An order goes through the agent beside its rank, and the same order to many ranks
+// through few of their agents, as links are slow. When an agent does not answer, the
+// order goes straight to the engine: orders are safe to repeat. Agents remember the
+// maps that they were sent, so that an order can name one, and a coordinator that
+// takes over knows the map in force.
+//
+// Entries ask the coordinator for its board: how many requests each rank has, and
+// which are slow.
 package lockstep
