Keep one rule for whether a group is open

Cause: the dispatcher and the log of changes each had their own copy of it. Ruled out: nothing to measure. Change: dispatch.Groups, used by both. Measured: the tests of both packages pass.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -179,7 +179,7 @@
 // replace takes a service's upstreams. What was seen of one that stays is kept.
 func (s *service) replace(list []Upstream, out func(upstream, domain string) bool) {
 	kept := make([]*candidate, 0, len(list))
-	open := openGroups(list)
+	groups := Groups(list)
 	for _, u := range list {
 		i := slices.IndexFunc(s.candidates, func(c *candidate) bool {
 			return c.ID == u.ID && c.Incarnation == u.Incarnation && c.Address == u.Address
@@ -194,36 +194,13 @@
 		}
 		c.Upstream = u
 		c.out = out(u.ID, u.FailureDomain)
-		epoch, ok := open[u.Group.Name]
-		c.open = u.Group.Name == "" || ok && epoch == u.Group.Epoch
+		g := groups[u.Group.Name]
+		c.open = u.Group.Name == "" || g.Open && g.Epoch == u.Group.Epoch
 		kept = append(kept, c)
 	}
 	s.candidates = kept
 }
 
-// openGroups returns the epoch of each group that runs work. Ranks that have ended stay
-// listed for seconds as they were, so one rank of the newest epoch that says that the
-// group is broken outweighs all others, and older epochs are over.
-func openGroups(list []Upstream) map[string]uint64 {
-	newest, broken := make(map[string]uint64), make(map[string]bool)
-	for _, u := range list {
-		g := u.Group
-		switch epoch, ok := newest[g.Name]; {
-		case g.Name == "" || ok && g.Epoch < epoch:
-		case !ok || g.Epoch > epoch:
-			newest[g.Name], broken[g.Name] = g.Epoch, !g.Open
-		default:
-			broken[g.Name] = broken[g.Name] || !g.Open
-		}
-	}
-	for name := range newest {
-		if broken[name] {
-			delete(newest, name)
-		}
-	}
-	return newest
-}
-
 // Arrive queues or refuses a request and returns the decisions that follow.
 func (d *Dispatcher) Arrive(r Request, now time.Time) []Decision {
 	s := d.service(r.Service)
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -35,6 +35,37 @@
 	Open bool
 }
 
+// GroupState is what the listed ranks of a group say of it together.
+type GroupState struct {
+	// Epoch is the newest one, Ranks how many ranks are listed in it.
+	Epoch uint64
+	Ranks int
+	// Open is true when all of these say that the group is open. Ranks that have ended
+	// stay listed for seconds as they were, so one that says otherwise outweighs them.
+	Open bool
+}
+
+// Groups returns the states of the groups that are listed.
+func Groups(list []Upstream) map[string]GroupState {
+	out := make(map[string]GroupState)
+	for _, u := range list {
+		g := u.Group
+		if g.Name == "" {
+			continue
+		}
+		state, ok := out[g.Name]
+		switch {
+		case !ok || g.Epoch > state.Epoch:
+			state = GroupState{Epoch: g.Epoch, Ranks: 1, Open: g.Open}
+		case g.Epoch == state.Epoch:
+			state.Ranks++
+			state.Open = state.Open && g.Open
+		}
+		out[g.Name] = state
+	}
+	return out
+}
+
 // Failure is how an attempt at an upstream went wrong.
 type Failure int
 
--- a/pkg/fleet/changes.go
+++ b/pkg/fleet/changes.go
@@ -26,13 +26,13 @@
 			"change": what, "count": len(ids), "upstreams": ids[:min(maxNamed, len(ids))], "listed": len(next),
 		}).Info("upstreams changed")
 	}
-	before, after := groupsOf(f.listed), groupsOf(next)
-	for name, g := range after {
-		if old, ok := before[name]; !ok || old.epoch != g.epoch || old.open != g.open {
-			f.log.WithFields(logrus.Fields{"group": name, "epoch": g.epoch, "open": g.open, "ranks": g.ranks}).Info("group changed")
+	groups := dispatch.Groups(list)
+	for name, g := range groups {
+		if old, ok := f.groups[name]; !ok || old.Epoch != g.Epoch || old.Open != g.Open {
+			f.log.WithFields(logrus.Fields{"group": name, "epoch": g.Epoch, "open": g.Open, "ranks": g.Ranks}).Info("group changed")
 		}
 	}
-	f.listed = next
+	f.listed, f.groups = next, groups
 }
 
 // upstreamChanges returns the IDs of the upstreams that changed, by change.
@@ -58,30 +58,3 @@
 	}
 	return out
 }
-
-// groupView is what the listed ranks of a group say of it.
-type groupView struct {
-	epoch uint64
-	// open is true when all ranks of the newest epoch say so.
-	open  bool
-	ranks int
-}
-
-func groupsOf(list map[string]dispatch.Upstream) map[string]groupView {
-	out := make(map[string]groupView)
-	for _, u := range list {
-		if u.Group.Name == "" {
-			continue
-		}
-		g, ok := out[u.Group.Name]
-		switch {
-		case !ok || u.Group.Epoch > g.epoch:
-			g = groupView{epoch: u.Group.Epoch, open: u.Group.Open, ranks: 1}
-		case u.Group.Epoch == g.epoch:
-			g.open = g.open && u.Group.Open
-			g.ranks++
-		}
-		out[u.Group.Name] = g
-	}
-	return out
-}
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -47,8 +47,9 @@
 	dispatcher *dispatch.Dispatcher
 	waiting    map[string]chan answer
 	boards     *boards
-	// listed are the upstreams that the platform lists now, by ID.
+	// listed are the upstreams that the platform lists now, by ID, groups their groups.
 	listed    map[string]dispatch.Upstream
+	groups    map[string]dispatch.GroupState
 	hosts     []hosts.Host
 	reach     *reach.Watch
 	cutOff    bool
