Open the operators' table on the platform's processes

Cause: the table, the status and the explanation of a request had no test on the platform's processes. Ruled out: nothing to measure. An entry that has not read the first version yet answers not_ready for up to a second, as it says.

--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -18,6 +18,8 @@
 type process struct {
 	name string
 	args []string
+	// env is added to the environment.
+	env  []string
 	file string
 	log  string
 	// store is its way to the platform's store.
@@ -53,6 +55,7 @@
 	}
 	cmd := exec.Command(p.args[0], append(p.args[1:], "--settings", p.file)...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.Env = append(os.Environ(), p.env...)
 	if err := cmd.Start(); err != nil {
 		out.Close()
 		return errors.WithStack(err)
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -91,6 +91,9 @@
 
 var zones = []string{"z0", "z1", "z2"}
 
+// operatorToken is the operators' bearer token at all entries.
+const operatorToken = "operators-of-the-soak"
+
 // portsOfARun is how many ports a run takes; each run has others.
 const portsOfARun = 16
 
@@ -153,7 +156,7 @@
 			return nil, err
 		}
 		p := &process{
-			name: name, args: []string{filepath.Join(bin, program), command, "--log-format", "json", "--metrics-port", itoa(w.port + 3)},
+			name: name, args: []string{filepath.Join(bin, program), command, "--log-format", "json", "--metrics-port", itoa(w.port + 3)}, env: []string{"ACACIAGLADE_OPERATOR_TOKEN=" + operatorToken},
 			file: filepath.Join(w.dir, name+".json"), log: logFile(w.dir, name), store: store,
 			settings: settingsOf(w, name, ip, zone, store.Address()),
 		}
