Reset abandoned requests, so that nothing of them arrives later

The entry had closed the connections, and the kernel went on sending what was not acknowledged. Ruled out: a retry after the caller had left (the log shows one send to each upstream, and caller_gone in time). Change: connections of abandoned requests are reset.

--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -96,10 +96,10 @@
 	}
 }
 
-// Discard closes the connection.
+// Discard resets the connection.
 func (x *Exchange) Discard() {
 	x.stop()
-	x.conn.Close()
+	x.conn.abort()
 }
 
 // quiet reports whether a resting connection is open and nothing has arrived on
--- a/pkg/connpool/pool.go
+++ b/pkg/connpool/pool.go
@@ -72,6 +72,17 @@
 	rested time.Duration
 }
 
+// abort resets the connection. What was written and has not arrived is dropped: a mere
+// close would still deliver it, after seconds when the path was interrupted, for a caller
+// who has left.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A connection that can't be set to reset is closed all the same.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // New returns an empty pool.
 func New(cfg Config) *Pool {
 	return &Pool{cfg: cfg, idle: make(map[string][]*conn)}
@@ -96,7 +107,7 @@
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	x.stop = context.AfterFunc(ctx, c.abort)
 	if err := x.start(req, raw); err != nil {
 		x.Discard()
 		p.distrust(c)
--- a/pkg/connpool/pool_test.go
+++ b/pkg/connpool/pool_test.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -230,3 +231,36 @@
 		t.Error("the connection is kept though the body is still being sent")
 	}
 }
+
+// TestAbandonedRequestsAreReset comes from a day of our own: a host was frozen, callers
+// of requests that were on their way to it left, and it got the requests when it woke.
+// An abandoned request must be reset, so that nothing of it is delivered later.
+func TestAbandonedRequestsAreReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer c.Close()
+		// The stand-in is frozen while its caller leaves, and reads then.
+		time.Sleep(150 * time.Millisecond)
+		_, err = io.Copy(io.Discard, c)
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	req := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Host: "h", Header: http.Header{}}
+	if _, err := newPool().Send(ctx, l.Addr().String(), req, []byte("body"), Options{}); err == nil {
+		t.Fatal("an answer from a frozen host")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
