Hold only the events of the last span

Ruled out: a bound on the number of events (a burst would be counted short). An event counts until it is as old as the span; the dispatcher's counted one of exactly that age too.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/api"
 	"github.com/acaciaglade/acaciaglade/pkg/fairqueue"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/recent"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
@@ -88,7 +89,7 @@
 	engine     *table.Engine
 	cold       float64
 	pulse      pulse
-	granted    window
+	granted    recent.Events
 	// grantedAt is when this entry last sent a request on.
 	grantedAt time.Time
 	// boardAt is when the ranks of the service's group were last asked.
@@ -125,7 +126,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{lanes: newLanes(), waiting: make(map[string]*Request), groups: make(map[string]groupLoad)}
+		s = &service{lanes: newLanes(), waiting: make(map[string]*Request), granted: recent.New(windowLength), groups: make(map[string]groupLoad)}
 		d.services[name] = s
 	}
 	return s
@@ -184,7 +185,7 @@
 		i := slices.IndexFunc(s.candidates, func(c *candidate) bool {
 			return c.ID == u.ID && c.Incarnation == u.Incarnation && c.Address == u.Address
 		})
-		c := &candidate{}
+		c := &candidate{sends: recent.New(windowLength)}
 		if i >= 0 {
 			c = s.candidates[i]
 		}
@@ -342,8 +343,8 @@
 		s.lanes.take(it, now)
 		delete(s.waiting, it.ID)
 		chosen.own.add(1, now)
-		chosen.sends.add(now)
-		s.granted.add(now)
+		chosen.sends.Add(now)
+		s.granted.Add(now)
 		s.grantedAt = now
 		d.sent[it.ID] = &sent{service: s, candidate: chosen, at: now}
 		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream, Load: chosen.occupied(now), BoardAge: s.boardAge(now)})
@@ -364,7 +365,7 @@
 	if !c.open || c.occupied(now) >= c.Slots {
 		return false
 	}
-	return s.cold <= 0 || c.sends.allows((s.cold*d.cfg.ColdFactor+d.cfg.ColdExtra)/float64(max(1, d.parts)), now)
+	return s.cold <= 0 || allows(&c.sends, (s.cold*d.cfg.ColdFactor+d.cfg.ColdExtra)/float64(max(1, d.parts)), now)
 }
 
 // Attain corrects an organisation's share by the difference between the real and
--- a/pkg/dispatch/lanes.go
+++ b/pkg/dispatch/lanes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/fairqueue"
+	"github.com/acaciaglade/acaciaglade/pkg/recent"
 )
 
 // lanes hold what waits for a service. Requests that can still be answered on time go
@@ -13,10 +14,12 @@
 type lanes struct {
 	prompt, late *fairqueue.Queue
 	// lateTaken counts what was lately taken from the late lane.
-	lateTaken window
+	lateTaken recent.Events
 }
 
-func newLanes() lanes { return lanes{prompt: fairqueue.New(), late: fairqueue.New()} }
+func newLanes() lanes {
+	return lanes{prompt: fairqueue.New(), late: fairqueue.New(), lateTaken: recent.New(windowLength)}
+}
 
 // Len returns the number of waiting requests.
 func (l *lanes) Len() int { return l.prompt.Len() + l.late.Len() }
@@ -34,7 +37,7 @@
 	from, other := l.prompt, l.late
 	if l.late.Has(it.ID) {
 		from, other = l.late, l.prompt
-		l.lateTaken.add(now)
+		l.lateTaken.Add(now)
 	}
 	from.Take(it, now)
 	if !it.Priority {
@@ -81,6 +84,6 @@
 // lateRoom is how many requests the late lane lets through within a time, as it did
 // lately.
 func (l *lanes) lateRoom(longest time.Duration, now time.Time) int {
-	rate := float64(l.lateTaken.count(now)) / windowLength.Seconds()
+	rate := float64(l.lateTaken.Count(now)) / windowLength.Seconds()
 	return leastLate + int(rate*longest.Seconds())
 }
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -68,7 +68,7 @@
 
 // waitBehind predicts how long a request waits that has some others before it.
 func (s *service) waitBehind(others int, now time.Time) time.Duration {
-	perSecond := float64(s.granted.count(now))
+	perSecond := float64(s.granted.Count(now))
 	if s.typical > 0 {
 		running := 0
 		for _, c := range s.candidates {
@@ -85,7 +85,7 @@
 // queueText says what the predicted wait follows from.
 func (s *service) queueText(now time.Time) string {
 	return fmt.Sprintf("%d requests wait, %d were sent on in the last second, predicted wait %d ms",
-		s.lanes.Len(), s.granted.count(now), s.wait(now).Milliseconds())
+		s.lanes.Len(), s.granted.Count(now), s.wait(now).Milliseconds())
 }
 
 // later returns a refusal with the time after which to come back.
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/recent"
 )
 
 // Upstream is what the platform says of one upstream.
@@ -112,7 +114,8 @@
 	paceAt     time.Time
 	avoidUntil time.Time
 	failures   int
-	sends      window
+	// sends are the attempts of the last span.
+	sends recent.Events
 }
 
 // usable reports whether the candidate takes requests at all.
@@ -141,28 +144,17 @@
 	return b
 }
 
-// window counts the sends of the last span. Any upstream may turn cold at any
-// moment, so the bound of cold ones holds for all.
-type window struct{ at []time.Time }
-
-// windowLength is the span: the second that the platform's bound names, and a tenth
-// for what arrives closer together than it was sent.
+// windowLength is the span in which sends are counted: the second that the platform's
+// bound of cold upstreams names, and a tenth for what arrives closer together than it was
+// sent. Any upstream may turn cold at any moment, so the bound holds for all.
 const windowLength = 1100 * time.Millisecond
 
-func (w *window) add(now time.Time) { w.at = append(w.at, now) }
-
-func (w *window) count(now time.Time) int {
-	for len(w.at) > 0 && now.Sub(w.at[0]) > windowLength {
-		w.at = w.at[1:]
-	}
-	return len(w.at)
-}
-
 // allows reports whether one more send keeps to a rate per span. A rate below 1
 // spreads sends over several spans.
-func (w *window) allows(rate float64, now time.Time) bool {
-	if rate >= 1 || len(w.at) == 0 {
-		return float64(w.count(now)+1) <= max(1, rate)
+func allows(sends *recent.Events, rate float64, now time.Time) bool {
+	last := sends.Last()
+	if rate >= 1 || last.IsZero() {
+		return float64(sends.Count(now)+1) <= max(1, rate)
 	}
-	return now.Sub(w.at[len(w.at)-1]) > time.Duration(float64(windowLength)/rate)
+	return now.Sub(last) > time.Duration(float64(windowLength)/rate)
 }
