Call what exists, and drop what nothing reads

Cause: reading the change as a whole showed twins and leftovers. The dispatcher finds full groups once a grant, known upstreams by ID, and the best candidate in one pass; the age of a board is read where the board is. Spread builds the state of a layer once. Rows of the platform's organisations are matched by name in one pass, not by a search each (38,000 organisations). Decisions become text only when they are logged.

--- a/lab/link/link.go
+++ b/lab/link/link.go
@@ -93,11 +93,9 @@
 // Cut closes all connections and refuses new ones.
 func (l *Link) Cut() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.cut = true
-	for p := range l.pairs {
-		p.close()
-	}
+	l.mu.Unlock()
+	l.Reset()
 }
 
 // Heal lets connections through again.
--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -5,9 +5,7 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/acaciaglade/acaciaglade/pkg/agent"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
@@ -45,7 +43,7 @@
 	a := agent.New(agentConfig(s), objects.NewClient(s.ObjectAPI, s.ObjectTimeout), registry)
 	handler := server.NewEcho()
 	a.Register(handler)
-	handler.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(registry, promhttp.HandlerOpts{})))
+	server.RegisterMetrics(handler, registry)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go a.Run(background)
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -16,7 +16,6 @@
 	parser.Name = "acaciaglade"
 	parser.ShortDescription = "load balancer for expert-parallel model groups"
 	addCommands(parser, extra)
-	add(parser, extra)
 	_, err := parser.ParseArgs(args)
 	return report(parser.Name, err)
 }
@@ -58,6 +57,7 @@
 	must(parser.AddCommand("upstream", "Take an upstream out or in", "Marks an upstream out of service or in.", &upstreamCommand{}))
 	must(parser.AddCommand("status", "Show the fleet", "Shows what an entry knows of the fleet, and what organisations asked for and got.", &statusCommand{}))
 	must(parser.AddCommand("explain", "Explain a request", "Shows what was decided about a request, where and why.", &explainCommand{}))
+	add(parser, extra)
 }
 
 // must panics on a command that is defined wrongly.
--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -17,7 +17,6 @@
 	conn     *conn
 	stop     func() bool
 	written  chan error
-	late     bool
 	response *http.Response
 }
 
@@ -32,7 +31,6 @@
 		}
 		x.written <- err
 	} else {
-		x.late = true
 		go func() {
 			_, err := x.conn.Write(raw)
 			x.written <- err
@@ -52,15 +50,6 @@
 // Header returns the header of the answer.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
-// Framed reports whether the answer says where it ends. One that ends with its
-// connection may have been cut.
-func (x *Exchange) Framed() bool {
-	return x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0
-}
-
-// Length returns the length of the body, -1 when the head does not tell.
-func (x *Exchange) Length() int64 { return x.response.ContentLength }
-
 // Read reads the body. It returns io.EOF at its end, and any other error when
 // the answer is not whole.
 func (x *Exchange) Read(b []byte) (int, error) {
@@ -71,11 +60,6 @@
 	return n, errors.WithStack(err)
 }
 
-// SetReadDeadline bounds the reading of the body.
-func (x *Exchange) SetReadDeadline(t time.Time) error {
-	return errors.WithStack(x.conn.SetReadDeadline(t))
-}
-
 // Finish gives the connection back after the body was read to its end.
 func (x *Exchange) Finish() {
 	if !x.stop() || !x.sent() || x.response.Close || x.conn.reader.Buffered() > 0 {
--- a/pkg/connpool/pool.go
+++ b/pkg/connpool/pool.go
@@ -27,8 +27,6 @@
 	MaxIdle time.Duration
 	// MaxIdlePerHost is how many kept connections rest for one address.
 	MaxIdlePerHost int
-	// Opened is called for each new connection. It may be nil.
-	Opened func()
 }
 
 // Bounds of the reading and writing of one exchange.
@@ -51,9 +49,8 @@
 type Pool struct {
 	cfg Config
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	closed bool
+	mu   sync.Mutex
+	idle map[string][]*conn
 	// trusted is how long a rest is trusted until trustedUntil.
 	trusted      time.Duration
 	trustedUntil time.Time
@@ -161,9 +158,6 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	if p.cfg.Opened != nil {
-		p.cfg.Opened()
-	}
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
 }
 
@@ -204,7 +198,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.prune(p.idle[c.address], now)
-	if p.closed || len(list) >= p.cfg.MaxIdlePerHost {
+	if len(list) >= p.cfg.MaxIdlePerHost {
 		c.Close()
 		p.idle[c.address] = list
 		return
@@ -248,14 +242,6 @@
 	}
 }
 
-// Close closes all kept connections and keeps no more.
-func (p *Pool) Close() {
-	p.Keep(nil)
-	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
-}
-
 // keepAlive returns how long the upstream keeps a resting connection.
 func keepAlive(h http.Header, otherwise time.Duration) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/pkg/decisionlog/decisionlog.go
+++ b/pkg/decisionlog/decisionlog.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,6 +23,11 @@
 	Upstream string `json:"upstream,omitempty"`
 }
 
+// String returns the decision as one short text.
+func (d *Decision) String() string {
+	return strings.TrimSpace(d.Upstream + " " + d.What + ": " + d.Why)
+}
+
 // Log is a bounded ring of decisions. It is safe for concurrent use.
 type Log struct {
 	where string
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
@@ -86,14 +85,11 @@
 	lanes      lanes
 	waiting    map[string]*Request
 	candidates []*candidate
-	engine     *table.Engine
 	cold       float64
 	pulse      pulse
 	granted    recent.Events
 	// grantedAt is when this entry last sent a request on.
 	grantedAt time.Time
-	// boardAt is when the ranks of the service's group were last asked.
-	boardAt time.Time
 	// groups is what boards told of the service's groups.
 	groups map[string]groupLoad
 	// first is the usual time from the grant of a request to the first part of its
@@ -137,7 +133,7 @@
 	d.out = ix.Out
 	for _, t := range ix.Table().Services {
 		s := d.service(t.Name)
-		s.engine, s.cold = t.Engine, t.ColdPerSecond
+		s.cold = t.ColdPerSecond
 	}
 	var decisions []Decision
 	for _, s := range d.services {
@@ -180,14 +176,14 @@
 // replace takes a service's upstreams. What was seen of one that stays is kept.
 func (s *service) replace(list []Upstream, out func(upstream, domain string) bool) {
 	kept := make([]*candidate, 0, len(list))
-	groups := Groups(list)
+	groups, known := Groups(list), make(map[string]*candidate, len(s.candidates))
+	for _, c := range s.candidates {
+		known[c.ID] = c
+	}
 	for _, u := range list {
-		i := slices.IndexFunc(s.candidates, func(c *candidate) bool {
-			return c.ID == u.ID && c.Incarnation == u.Incarnation && c.Address == u.Address
-		})
-		c := &candidate{sends: recent.New(windowLength)}
-		if i >= 0 {
-			c = s.candidates[i]
+		c, ok := known[u.ID]
+		if !ok || c.Incarnation != u.Incarnation || c.Address != u.Address {
+			c = &candidate{sends: recent.New(windowLength)}
 		}
 		if c.Group.Epoch != u.Group.Epoch {
 			// The group was formed anew.
@@ -330,8 +326,9 @@
 	}
 	for s.lanes.Len() > 0 {
 		var chosen *candidate
+		full := d.full(s, now)
 		it := s.lanes.next(func(it *fairqueue.Item) fairqueue.Verdict {
-			chosen = d.choose(s, s.waiting[it.ID], now)
+			chosen = d.choose(s, s.waiting[it.ID], full, now)
 			if chosen == nil {
 				return fairqueue.Pass
 			}
@@ -347,17 +344,18 @@
 		s.granted.Add(now)
 		s.grantedAt = now
 		d.sent[it.ID] = &sent{service: s, candidate: chosen, at: now}
-		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream, Load: chosen.occupied(now), BoardAge: s.boardAge(now)})
+		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream, Load: chosen.occupied(now), BoardAge: s.boardAge(chosen.Group.Name, now)})
 	}
 	return decisions
 }
 
-// boardAge is the age of the latest board, negative when there is none.
-func (s *service) boardAge(now time.Time) time.Duration {
-	if s.boardAt.IsZero() {
+// boardAge is the age of a group's latest board, negative when there is none.
+func (s *service) boardAge(group string, now time.Time) time.Duration {
+	g, ok := s.groups[group]
+	if !ok {
 		return -1
 	}
-	return now.Sub(s.boardAt)
+	return now.Sub(g.at)
 }
 
 // room reports whether a candidate can take one more request.
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -10,9 +10,7 @@
 	Group string
 	Epoch uint64
 	// At is when the ranks were asked.
-	At time.Time
-	// Pass is the usual time of a pass, 0 while it is unknown.
-	Pass  time.Duration
+	At    time.Time
 	Ranks []RankLoad
 }
 
@@ -109,7 +107,6 @@
 			c.tell(b.Ranks[g.Rank].Requests, b.At)
 		}
 		if taken {
-			s.boardAt = b.At
 			s.groups[b.Group] = groupLoad{at: b.At, requests: total, slots: slots}
 			decisions = append(decisions, d.grant(s, now)...)
 		}
@@ -165,59 +162,36 @@
 // choose returns the upstream for a request, or nil when none has room. Of those with
 // room it is one with the least requests of this entry. What others have there is
 // left out: it is known late, and entries that go by the same late knowledge crowd the
-// same upstreams.
-func (d *Dispatcher) choose(s *service, r *Request, now time.Time) *candidate {
-	var fast, slow []option
-	full, sound := d.full(s, now), false
+// same upstreams. Groups that are full are passed over.
+func (d *Dispatcher) choose(s *service, r *Request, full map[string]bool, now time.Time) *candidate {
+	sound := slices.ContainsFunc(s.candidates, func(c *candidate) bool { return c.usable() && !c.slow(now) })
+	var best *candidate
+	equal, least := 0, 0.0
 	for _, c := range s.candidates {
-		sound = sound || c.usable() && !c.slow(now)
-		if full[c.Group.Name] || !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
+		if full[c.Group.Name] || sound && c.slow(now) || !c.usable() || now.Before(c.avoidUntil) || slices.Contains(r.Tried, c.ID) || !d.room(s, c, now) {
 			continue
 		}
-		o := option{candidate: c, load: float64(c.own.now)}
+		load := float64(c.own.now)
 		if c.FailureDomain != d.cfg.FailureDomain {
-			o.load += remoteWeight
-		}
-		if c.slow(now) {
-			slow = append(slow, o)
-		} else {
-			fast = append(fast, o)
+			load += remoteWeight
 		}
-	}
-	if !sound {
-		fast = slow
-	}
-	return d.least(fast)
-}
-
-// option is a candidate that can take a request.
-type option struct {
-	candidate *candidate
-	load      float64
-}
-
-// remoteWeight is how many requests less an upstream in another failure domain
-// must have to be preferred: it costs traffic between failure domains.
-const remoteWeight = 0.5
-
-// least returns an option with the least load.
-func (d *Dispatcher) least(options []option) *candidate {
-	var best *candidate
-	equal, least := 0, 0.0
-	for _, o := range options {
 		switch {
-		case best == nil || o.load < least:
-			best, least, equal = o.candidate, o.load, 1
-		case o.load == least:
+		case best == nil || load < least:
+			best, least, equal = c, load, 1
+		case load == least:
 			equal++
 			if d.rand.IntN(equal) == 0 {
-				best = o.candidate
+				best = c
 			}
 		}
 	}
 	return best
 }
 
+// remoteWeight is how many requests less an upstream in another failure domain
+// must have to be preferred: it costs traffic between failure domains.
+const remoteWeight = 0.5
+
 // Coordinators returns the agents of the lowest ranks of each group, in the order of
 // the ranks. Groups to which this entry has sent nothing lately are left out.
 func (d *Dispatcher) Coordinators(standbys int, now time.Time) map[string][]string {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -11,9 +11,9 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/authenticate"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
@@ -25,6 +25,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/server"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablestore"
 )
@@ -193,7 +194,7 @@
 // RegisterOperation adds the routes of operators and of other entries.
 func (e *Entry) RegisterOperation(s *echo.Echo) {
 	s.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
-	s.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})))
+	server.RegisterMetrics(s, e.registry)
 	peers := s.Group("", peer.RequireToken(e.cfg.PeerToken))
 	e.store.RegisterPeer(peers)
 	e.accounts.registerPeer(peers)
@@ -279,7 +280,7 @@
 		fields["longest_pause_ms"] = r.LongestPause.Milliseconds()
 	}
 	if p != nil || len(r.Tried) > 1 {
-		fields["decisions"] = r.Trail
+		fields["decisions"] = texts(r.Trail)
 	}
 	if p == nil {
 		e.log.WithFields(fields).Info("request served")
@@ -295,6 +296,15 @@
 	e.log.WithFields(fields).Info("request not served")
 }
 
+// texts returns decisions as texts.
+func texts(decisions []decisionlog.Decision) []string {
+	out := make([]string, len(decisions))
+	for i := range decisions {
+		out[i] = decisions[i].String()
+	}
+	return out
+}
+
 // admit gives the request the table in force.
 func (e *Entry) admit(r *pipe.Request) error {
 	if e.stopping.Load() && !e.cfg.ServeWhileLeaving {
--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -162,9 +162,6 @@
 // Lost reports whether the group has left the coordinator's epoch.
 func (c *Coordinator) Lost() bool { return c.lost }
 
-// PassTime returns the usual time of a pass, 0 while it is unknown.
-func (c *Coordinator) PassTime() time.Duration { return c.passTime }
-
 // Events returns and clears what happened since the last call.
 func (c *Coordinator) Events() []Event {
 	events := c.events
--- a/pkg/expertmap/plan/spread.go
+++ b/pkg/expertmap/plan/spread.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -35,10 +36,10 @@
 	copies := make([]int, size.Ranks)
 	total := 0
 	for _, l := range bySkew(current, shares, speeds, size) {
-		s := &spreader{layerState: newLayerState(current.Layers[l], shares[l], speeds, size.Slots), bounds: b, copies: copies, fresh: make([]int, size.Ranks), from: current.Layers[l]}
+		s := &spreader{layerState: l.layerState, bounds: b, copies: copies, fresh: make([]int, size.Ranks)}
 		n := s.run()
 		if n > 0 {
-			out.Layers[l] = s.layer()
+			out.Layers[l.index] = s.layer()
 			total += n
 		}
 	}
@@ -48,24 +49,22 @@
 	return out, total
 }
 
-// bySkew returns the layers, the one with the most skew first.
-func bySkew(current *expertmap.Map, shares [][]float64, speeds []float64, size expertmap.Size) []int {
-	skew := make([]float64, len(shares))
-	order := make([]int, len(shares))
+// indexedLayer is the state of a layer and its place in the map.
+type indexedLayer struct {
+	*layerState
+	index  int
+	before float64
+}
+
+// bySkew returns the states of the layers, the one with the most skew first.
+func bySkew(current *expertmap.Map, shares [][]float64, speeds []float64, size expertmap.Size) []indexedLayer {
+	layers := make([]indexedLayer, len(shares))
 	for l := range shares {
-		order[l] = l
-		skew[l] = newLayerState(current.Layers[l], shares[l], speeds, size.Slots).skew()
+		state := newLayerState(current.Layers[l], shares[l], speeds, size.Slots)
+		layers[l] = indexedLayer{layerState: state, index: l, before: state.skew()}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		switch {
-		case skew[a] > skew[b]:
-			return -1
-		case skew[a] < skew[b]:
-			return 1
-		}
-		return 0
-	})
-	return order
+	slices.SortStableFunc(layers, func(a, b indexedLayer) int { return cmp.Compare(b.before, a.before) })
+	return layers
 }
 
 // Skew returns the mean over the layers of the slowest rank's time over that of a
@@ -82,7 +81,6 @@
 type spreader struct {
 	*layerState
 	bounds Bounds
-	from   expertmap.Layer
 	// copies counts what each rank copies over all layers, fresh in this one.
 	copies []int
 	fresh  []int
--- a/pkg/fleet/board.go
+++ b/pkg/fleet/board.go
@@ -113,8 +113,7 @@
 func boardOf(told *lockstep.Board, asked time.Time) dispatch.Board {
 	b := dispatch.Board{
 		Group: told.Group, Epoch: told.Epoch,
-		At:   asked.Add(-time.Duration(told.AgeMillis) * time.Millisecond),
-		Pass: time.Duration(told.PassMillis * float64(time.Millisecond)),
+		At: asked.Add(-time.Duration(told.AgeMillis) * time.Millisecond),
 	}
 	for rank := range told.Running {
 		load := dispatch.RankLoad{}
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -209,10 +209,10 @@
 
 // SetUpstreams takes the upstreams that the platform lists now.
 func (f *Direct) SetUpstreams(list []dispatch.Upstream) {
-	f.mu.Lock()
-	f.logChanges(list)
-	f.mu.Unlock()
-	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.SetUpstreams(list, time.Now()) })
+	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision {
+		f.logChanges(list)
+		return d.SetUpstreams(list, time.Now())
+	})
 }
 
 // Acquire waits for an upstream for a request.
@@ -226,21 +226,12 @@
 	f.waiting[r.ID] = granted
 	f.mu.Unlock()
 	f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.Arrive(directRequest(r), time.Now()) })
-	select {
-	case a := <-granted:
-		return a.upstream, a.err
-	case <-ctx.Done():
-	}
-	f.mu.Lock()
-	f.dispatcher.Cancel(r.Service, r.ID)
-	delete(f.waiting, r.ID)
-	f.mu.Unlock()
-	select {
-	case a := <-granted:
-		return a.upstream, a.err
-	default:
-		return Upstream{}, problem.New(problem.ReasonDeadlineExceeded, "")
-	}
+	return await(ctx, granted, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.dispatcher.Cancel(r.Service, r.ID)
+		delete(f.waiting, r.ID)
+	})
 }
 
 func directRequest(r scheduler.Request) dispatch.Request {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -147,15 +147,23 @@
 	f.waiting[r.ID] = granted
 	f.deliver(f.scheduler.Arrive(r, time.Now()))
 	f.mu.Unlock()
+	return await(ctx, granted, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.scheduler.Cancel(r.Service, r.ID)
+		delete(f.waiting, r.ID)
+	})
+}
+
+// await waits for the answer to a waiting request. When the caller leaves first,
+// withdraw takes the request out of its queue; the answer may have come meanwhile.
+func await(ctx context.Context, granted <-chan answer, withdraw func()) (Upstream, error) {
 	select {
 	case a := <-granted:
 		return a.upstream, a.err
 	case <-ctx.Done():
 	}
-	f.mu.Lock()
-	f.scheduler.Cancel(r.Service, r.ID)
-	delete(f.waiting, r.ID)
-	f.mu.Unlock()
+	withdraw()
 	select {
 	case a := <-granted:
 		return a.upstream, a.err
--- a/pkg/lockstep/board.go
+++ b/pkg/lockstep/board.go
@@ -11,8 +11,6 @@
 	Epoch uint64 `json:"epoch"`
 	// AgeMillis is how old the board is.
 	AgeMillis int64 `json:"age_ms"`
-	// PassMillis is the usual time of a pass, 0 while it is unknown.
-	PassMillis float64 `json:"pass_ms"`
 	// Running and Waiting are each rank's requests, -1 for a rank that is not known
 	// or was not heard of for long.
 	Running []int `json:"running"`
@@ -50,7 +48,7 @@
 }
 
 func (r *round) board(now time.Time) *Board {
-	b := &Board{Group: r.place.Group, Epoch: r.place.Epoch, PassMillis: float64(r.coordinator.PassTime()) / float64(time.Millisecond)}
+	b := &Board{Group: r.place.Group, Epoch: r.place.Epoch}
 	for rank, reading := range r.readings {
 		running, waiting := reading.Running, reading.Waiting
 		if now.Sub(r.readAt[rank]) > boardLife {
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
@@ -84,8 +83,8 @@
 	Reply Reply
 	// Decisions takes the decisions about the request. It may be nil.
 	Decisions *decisionlog.Log
-	// Trail is the first decisions about the request, as text for the log.
-	Trail []string
+	// Trail is the first decisions about the request, for the log.
+	Trail []decisionlog.Decision
 }
 
 // maxTrail is how many decisions a trail keeps: some for each attempt.
@@ -94,13 +93,13 @@
 // Decide records a decision about the request. The reason and the upstream may
 // be empty.
 func (r *Request) Decide(what, why, upstream string) {
+	d := decisionlog.Decision{RequestID: r.ID, At: time.Now(), What: what, Why: why, Upstream: upstream}
 	if len(r.Trail) < maxTrail {
-		r.Trail = append(r.Trail, strings.TrimSpace(upstream+" "+what+": "+why))
+		r.Trail = append(r.Trail, d)
 	}
-	if r.Decisions == nil {
-		return
+	if r.Decisions != nil {
+		r.Decisions.Add(d)
 	}
-	r.Decisions.Add(decisionlog.Decision{RequestID: r.ID, At: time.Now(), What: what, Why: why, Upstream: upstream})
 }
 
 // Served returns the cost of what the upstream did for the request: nothing
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -13,6 +12,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/pause"
 )
 
 // Kind is the kind of the registrations.
@@ -70,23 +70,17 @@
 // ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	go r.renew(ctx)
-	pause := newBackOff()
+	between := pause.Growing(firstPause, mostPause)
 	for ctx.Err() == nil {
 		err := r.store.Watch(ctx, Kind, func(e objects.Event) {
-			pause.Reset()
+			between.Reset()
 			r.take(e)
 		})
 		r.log.WithError(err).Debug("watch ended")
-		sleep(ctx, pause.NextBackOff())
+		pause.Sleep(ctx, between.NextBackOff())
 	}
 }
 
-func newBackOff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = firstPause, mostPause
-	return b
-}
-
 func (r *Roster) take(e objects.Event) {
 	now := time.Now()
 	r.mu.Lock()
@@ -110,21 +104,21 @@
 // renew writes this host's registration, again at each interval and when it is
 // missing, and removes those that lapsed.
 func (r *Roster) renew(ctx context.Context) {
-	pause := newBackOff()
+	between := pause.Growing(firstPause, mostPause)
 	for ctx.Err() == nil {
 		wait := renewInterval
 		if err := r.write(ctx); err != nil {
-			wait = pause.NextBackOff()
+			wait = between.NextBackOff()
 			r.log.WithError(err).WithField("again_ms", wait.Milliseconds()).Warn("host not registered")
 		} else {
-			pause.Reset()
+			between.Reset()
 			r.sweep(ctx)
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
 		case <-r.missing:
-			sleep(ctx, firstPause)
+			pause.Sleep(ctx, firstPause)
 		}
 	}
 }
@@ -173,11 +167,3 @@
 		r.log.WithField("host", name).Info("lapsed registration removed")
 	}
 }
-
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -100,8 +100,8 @@
 	return strings.Join(lines, "\n")
 }
 
-// minSecretLength is the shortest secret that is accepted, in characters.
-const minSecretLength = 16
+// MinSecretLength is the shortest secret that is accepted, in characters.
+const MinSecretLength = 16
 
 // Largest values, which keep attempts within what agents accept.
 const (
@@ -138,7 +138,7 @@
 func (c *checker) common(s *Common) {
 	c.require(s.Name != "", "name", "give the host's name")
 	c.require(s.FailureDomain != "", "failure-domain", "give the host's failure domain")
-	c.require(len(s.PeerToken) >= minSecretLength, "peer-token", "give a secret of at least 16 characters")
+	c.require(len(s.PeerToken) >= MinSecretLength, "peer-token", "give a secret of at least 16 characters")
 	c.url(s.ObjectAPI, "object-api")
 	c.positive(s.ObjectTimeout, "object-timeout")
 	c.require(slices.Contains(logFormats, s.Logs.Format), "log-format", "give one of: "+strings.Join(logFormats, " "))
@@ -154,7 +154,7 @@
 	c := &checker{}
 	c.common(&s.Common)
 	c.url(s.HostList, "host-list")
-	c.require(len(s.OperatorToken) >= minSecretLength, "operator-token", "give a secret of at least 16 characters")
+	c.require(len(s.OperatorToken) >= MinSecretLength, "operator-token", "give a secret of at least 16 characters")
 	c.positive(s.HostsInterval, "hosts-interval")
 	c.positive(s.ReportInterval, "report-interval")
 	c.require(s.MaxReportAge > s.ReportInterval, "max-report-age", "give a time above --report-interval")
--- a/pkg/tablestore/change.go
+++ b/pkg/tablestore/change.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/pause"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
@@ -129,21 +130,15 @@
 			return o, nil
 		}
 		return s.objects.Get(ctx, PageKind, name)
-	}, backoff.WithBackOff(retryBackOff()))
+	}, backoff.WithBackOff(pause.Growing(retryPause, maxRetryPause)))
 	return err
 }
 
-func retryBackOff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = retryPause, maxRetryPause
-	return b
-}
-
 // writeHead writes the head until it is known what became of it. A write whose
 // answer was lost is read again and recognised by its ID, and sent again while
 // it can still take effect.
 func (s *Store) writeHead(ctx context.Context, w *write) error {
-	pause := retryBackOff()
+	between := pause.Growing(retryPause, maxRetryPause)
 	for {
 		err := s.putHead(ctx, w)
 		if err == nil {
@@ -159,10 +154,8 @@
 		default:
 			return ErrUnknown
 		}
-		select {
-		case <-ctx.Done():
+		if pause.Sleep(ctx, between.NextBackOff()); ctx.Err() != nil {
 			return ErrUnknown
-		case <-time.After(pause.NextBackOff()):
 		}
 	}
 }
--- a/pkg/tablestore/exchange.go
+++ b/pkg/tablestore/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/pause"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
@@ -92,15 +93,12 @@
 // follow asks one neighbour for news until ctx ends.
 func (x *Exchange) follow(ctx context.Context, name string) {
 	for ctx.Err() == nil {
-		pause := newsPause
+		wait := newsPause
 		if err := x.askOnce(ctx, name); err != nil {
 			x.store.log.WithError(err).WithField("entry", name).Debug("no news")
-			pause = failurePause
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+			wait = failurePause
 		}
+		pause.Sleep(ctx, wait)
 	}
 }
 
--- a/pkg/tablestore/platform.go
+++ b/pkg/tablestore/platform.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
 	"github.com/acaciaglade/acaciaglade/pkg/objects"
+	"github.com/acaciaglade/acaciaglade/pkg/pause"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -29,15 +29,11 @@
 
 // Watch follows the platform's store until ctx ends.
 func (s *Store) Watch(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = watchPause, maxWatchPause
+	between := pause.Growing(watchPause, maxWatchPause)
 	for ctx.Err() == nil {
-		err := s.watchOnce(ctx, pause.Reset)
+		err := s.watchOnce(ctx, between.Reset)
 		s.log.WithError(err).Debug("watch ended")
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
-		}
+		pause.Sleep(ctx, between.NextBackOff())
 	}
 }
 
--- a/pkg/tablestore/provided.go
+++ b/pkg/tablestore/provided.go
@@ -35,8 +35,12 @@
 	if p == nil {
 		return
 	}
+	rows := make(map[string]bool, len(t.Organisations))
+	for _, o := range t.Organisations {
+		rows[o.Name] = true
+	}
 	for _, o := range p.Organisations {
-		if !slices.ContainsFunc(t.Organisations, func(row table.Organisation) bool { return row.Name == o.Name }) {
+		if !rows[o.Name] {
 			t.Organisations = append(t.Organisations, table.Organisation{Name: o.Name, Weight: o.Weight})
 		}
 	}
@@ -56,10 +60,13 @@
 	}
 	t = t.Clone()
 	s.complete(t)
+	priority := make(map[string]bool, len(p.Organisations))
+	for _, o := range p.Organisations {
+		priority[o.Name] = o.Priority
+	}
 	for i := range t.Organisations {
 		o := &t.Organisations[i]
-		j := slices.IndexFunc(p.Organisations, func(row table.Organisation) bool { return row.Name == o.Name })
-		o.Priority = o.Priority || j >= 0 && p.Organisations[j].Priority
+		o.Priority = o.Priority || priority[o.Name]
 	}
 	t.Services = p.Services
 	return t
