Read the model's shape in the background, before an agent coordinates

Cause: an agent that began to coordinate listed the whole configuration within the 200 ms that its engine has to answer. The failure was logged at a level that is off. Ruled out: own rank out of reach (no line says so), no member list (read later). Change: standbys read the shape once, in the background, with a bound of its own, and keep it; a failed reading is a warning. Only the one object is read, stale, which costs a tenth of a call.

--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -69,6 +69,7 @@
 	http   *http.Client
 	log    *logrus.Entry
 	stats  *metrics
+	shape  *shapeKeeper
 	silent silence
 	maps   mapCache
 	// lost is true while the own rank does not answer.
@@ -105,9 +106,11 @@
 
 // New returns an agent.
 func New(cfg Config) *Agent {
+	log := logging.For("group")
 	return &Agent{
-		cfg: cfg, engine: cfg.Engine, http: cfg.HTTP, log: logging.For("group"), counted: make(map[int]Counts),
+		cfg: cfg, engine: cfg.Engine, http: cfg.HTTP, log: log, counted: make(map[int]Counts),
 		stats:   newMetrics(cfg.Registry),
+		shape:   &shapeKeeper{source: cfg.Shapes, log: log},
 		results: make(chan result, 256), told: make(chan telling, 256),
 	}
 }
@@ -172,13 +175,14 @@
 
 // locate reads the agent's own rank and begins or ends the coordination.
 func (a *Agent) locate(ctx context.Context, now time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reading, err := a.engine.Read(ctx)
+	reading, err := a.readOwn(ctx)
 	a.reachedOwn(err)
 	if err != nil {
 		return
 	}
+	if reading.Place.Rank < Standbys {
+		a.shape.want(ctx)
+	}
 	a.mu.Lock()
 	if reading.Place != a.place {
 		a.place = reading.Place
@@ -193,13 +197,20 @@
 		a.stats.coordinating.Set(0)
 		a.publish(nil, now)
 	case a.run == nil && coordinates && a.place.Ranks > 1:
-		a.begin(ctx, now)
+		a.begin(now)
 	}
 	if a.run != nil {
 		a.run.coordinator.Observe(a.place.Rank, reading.State, time.Now())
 	}
 }
 
+// readOwn reads the agent's own rank.
+func (a *Agent) readOwn(ctx context.Context) (Reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return a.engine.Read(ctx)
+}
+
 // reachedOwn logs when the own rank stops answering and when it answers again.
 func (a *Agent) reachedOwn(err error) {
 	if lost := err != nil; lost == a.lost {
@@ -213,11 +224,10 @@
 	a.log.WithField("epoch", a.place.Epoch).Info("own rank answers")
 }
 
-// begin starts to coordinate.
-func (a *Agent) begin(ctx context.Context, now time.Time) {
-	shape, err := a.cfg.Shapes.Shape(ctx)
-	if err != nil {
-		a.log.WithError(err).Debug("shape of the model not known")
+// begin starts to coordinate once the shape of the model is known.
+func (a *Agent) begin(now time.Time) {
+	shape, ok := a.shape.get()
+	if !ok {
 		return
 	}
 	size := expertmap.Size{Ranks: a.place.Ranks, Layers: shape.Layers, Experts: shape.Experts, Slots: shape.Slots}
