Let running streams leave a slow rank

Cause: all ranks of a group pass together, and a pass lasts as long as the slowest rank's own part. New requests avoided a slow rank, but the six or seven streams that it had when it turned slow kept every pass of the group at 165 ms (three times slower) or 465 ms (twelve times) until they had ended, 4 to 6 s later: longer than the 120 ms that are on time, for all streams. Ruled out: the slow rank's experts (they are moved within half a second, the skew is 1.25), and the rank itself: without requests it adds nothing to a pass. Change: while two passes in a row exceed the pause that routes allow, streams at a rank known to be slow acquire another upstream, and then go on there after their last event. They count as retries and stay where they are when none is left. Boards are asked for as often as under load meanwhile. Answers of which a caller has a part go first in the queue.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -106,6 +106,8 @@
 	at        time.Time
 	// partAt is when the latest part of its answer arrived, zero before the first.
 	partAt time.Time
+	// moved is true once the request was asked to go on at another upstream.
+	moved bool
 }
 
 // New returns an empty dispatcher.
@@ -131,9 +133,11 @@
 // SetIndex takes a new version of the table.
 func (d *Dispatcher) SetIndex(ix *table.Index, now time.Time) []Decision {
 	d.out = ix.Out
+	bounds := pauseBounds(ix.Table().Routes)
 	for _, t := range ix.Table().Services {
 		s := d.service(t.Name)
 		s.cold = t.ColdPerSecond
+		s.pulse.bound = bounds[t.Name]
 	}
 	var decisions []Decision
 	for _, s := range d.services {
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -149,11 +149,12 @@
 // busyPart is the part of its slots from which on a group counts as nearly full.
 const busyPart = 0.6
 
-// Busy reports whether a group is nearly full, or requests wait for it.
+// Busy reports whether a group is nearly full, requests wait for it, or its passes are
+// too long.
 func (d *Dispatcher) Busy(group string) bool {
 	for _, s := range d.services {
 		if g, ok := s.groups[group]; ok {
-			return s.lanes.Len() > 0 || float64(g.requests) > busyPart*float64(g.slots)
+			return s.lanes.Len() > 0 || s.pulse.over > 0 || float64(g.requests) > busyPart*float64(g.slots)
 		}
 	}
 	return false
@@ -164,7 +165,7 @@
 // left out: it is known late, and entries that go by the same late knowledge crowd the
 // same upstreams. Groups that are full are passed over.
 func (d *Dispatcher) choose(s *service, r *Request, full map[string]bool, now time.Time) *candidate {
-	sound := slices.ContainsFunc(s.candidates, func(c *candidate) bool { return c.usable() && !c.slow(now) })
+	sound := s.anySound(now)
 	var best *candidate
 	equal, least := 0, 0.0
 	for _, c := range s.candidates {
--- a/pkg/dispatch/pulse.go
+++ b/pkg/dispatch/pulse.go
@@ -26,6 +26,11 @@
 	beatAt  time.Time
 	pass    time.Duration
 	stopAt  time.Time
+	// bound is the longest pass with which answers are on time, 0 for none. over counts
+	// the latest passes in a row that exceeded it, the last of them at overAt.
+	bound  time.Duration
+	over   int
+	overAt time.Time
 }
 
 // began records that a stream has begun.
@@ -40,9 +45,22 @@
 		p.pass = gap
 	}
 	p.pass += time.Duration(passWeight * float64(gap-p.pass))
+	p.compare(gap, now)
 	p.alive(now)
 }
 
+// compare counts a pass that exceeds the bound. All streams tell of the same pass within
+// a part of it.
+func (p *pulse) compare(gap time.Duration, now time.Time) {
+	switch {
+	case p.bound <= 0 || gap <= p.bound:
+		p.over = 0
+	case p.over == 0 || now.Sub(p.overAt) > gap/2:
+		p.over++
+		p.overAt = now
+	}
+}
+
 func (p *pulse) alive(now time.Time) {
 	p.beatAt = now
 	p.stopAt = time.Time{}
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -87,6 +87,8 @@
 	FailureBroken
 	// FailureError means that the upstream answered with an error of its own.
 	FailureError
+	// FailureSlow means that the request went on elsewhere, as the upstream is slow.
+	FailureSlow
 )
 
 // Bounds of the time for which a failing upstream is passed over.
@@ -130,7 +132,7 @@
 		c.avoidUntil = later(c.avoidUntil, now.Add(avoidFull))
 	case FailureGone:
 		c.Leaving = true
-	case FailureError:
+	case FailureError, FailureSlow:
 	default:
 		c.avoidUntil = later(c.avoidUntil, now.Add(min(avoidMost, avoidFirst<<min(c.failures, 8))))
 		c.failures++
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -92,11 +92,13 @@
 		filter:   f,
 		request:  r,
 		exchange: f.link.Open(r),
+		ticket:   r.ID,
 		state:    retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline, MaxAttempts: r.MaxAttempts},
 	}
 	defer func() {
 		f.fleet.Attain(r.Service.Name, r.Organisation.Name, r.Organisation.Weight, r.Served()-r.Cost)
 	}()
+	defer j.giveBack()
 	for {
 		upstream, err := j.acquire(ctx)
 		if err != nil {
@@ -118,12 +120,17 @@
 
 // acquire waits for an upstream for the next attempt.
 func (j *job) acquire(ctx context.Context) (fleet.Upstream, error) {
+	if j.moved != nil {
+		u := j.moved
+		j.moved, j.ticket = nil, u.ticket
+		return u.Upstream, nil
+	}
 	if j.state.Relayed {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, rerunWait)
 		defer cancel()
 	}
-	return queue.Acquire(ctx, j.fleet, j.request)
+	return queue.Acquire(ctx, j.fleet, j.request, queue.Place{ID: j.ticket, First: j.state.Relayed})
 }
 
 func (j *job) next(event retry.EventKind) retry.Action {
@@ -140,6 +147,10 @@
 	state    retry.Request
 	// refusal is the last refusal of an agent.
 	refusal *api.Refusal
+	// ticket names the running attempt towards the fleet.
+	ticket string
+	// moved is the upstream at which the request goes on after the running attempt.
+	moved *reserved
 	// silent fires when the upstream's side has shown no sign of life for long.
 	silent *time.Timer
 }
@@ -195,7 +206,7 @@
 	if failed {
 		reason = j.reason()
 	}
-	j.fleet.Release(j.request.ID, reason)
+	j.fleet.Release(j.ticket, reason)
 }
 
 // listen runs a step that reads an answer, until it is silent for too long or the
@@ -203,27 +214,38 @@
 func (j *job) listen(ctx context.Context, u fleet.Upstream, step func(context.Context) Result) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if u.Lost != nil {
-		ended := make(chan struct{})
-		defer close(ended)
-		go func() {
-			select {
-			case <-u.Lost:
-				cancel()
-			case <-ended:
-			}
-		}()
-	}
+	var watch sync.WaitGroup
+	watch.Go(func() { j.watch(ctx, u, cancel) })
 	j.silent = time.AfterFunc(j.silence(), cancel)
 	defer j.silent.Stop()
 	result := step(ctx)
-	if result.Refusal != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	cancel()
+	watch.Wait()
+	if j.moved != nil {
+		result = j.leave(result)
+	}
+	if result.Refusal != nil && timedOut {
 		// What the connection says is only that it was closed for this.
 		result.Refusal.Detail = timeLimit
 	}
 	return j.keep(result)
 }
 
+// watch ends a step when the upstream is lost, or once the request can go on at
+// another one.
+func (j *job) watch(ctx context.Context, u fleet.Upstream, cancel context.CancelFunc) {
+	select {
+	case <-ctx.Done():
+	case <-u.Lost:
+		cancel()
+	case <-u.Move:
+		if j.reserve(ctx) {
+			cancel()
+		}
+	}
+}
+
 // ask asks for the state of the request.
 func (j *job) ask(u fleet.Upstream) Result {
 	ctx, cancel := context.WithTimeout(context.Background(), j.askTimeout())
@@ -257,7 +279,7 @@
 
 // Head implements Sink.
 func (j *job) Head(status int, header http.Header) error {
-	j.fleet.Started(j.request.ID)
+	j.fleet.Started(j.ticket)
 	return j.request.Reply.Head(status, header)
 }
 
@@ -266,7 +288,7 @@
 	r := j.request
 	r.Spent++
 	r.Arrived(time.Now())
-	j.fleet.Part(r.ID)
+	j.fleet.Part(j.ticket)
 	err := r.Reply.Data(part)
 	j.state.Progress(r.Reply.Relayed())
 	return err
--- a/pkg/filter/queue/queue.go
+++ b/pkg/filter/queue/queue.go
@@ -23,16 +23,25 @@
 	Release(requestID string, failure problem.Reason)
 }
 
-// Acquire waits for an upstream for a request.
-func Acquire(ctx context.Context, source Source, r *pipe.Request) (fleet.Upstream, error) {
+// Place is an attempt's place in the queue.
+type Place struct {
+	// ID names the attempt towards the source.
+	ID string
+	// First is true for an attempt that goes on with an answer of which the caller has a
+	// part: it goes before others, as the caller sees each pause.
+	First bool
+}
+
+// Acquire waits for an upstream for an attempt of a request.
+func Acquire(ctx context.Context, source Source, r *pipe.Request, place Place) (fleet.Upstream, error) {
 	began := time.Now()
 	defer func() { r.Waited += time.Since(began) }()
 	return source.Acquire(ctx, scheduler.Request{
-		ID:           r.ID,
+		ID:           place.ID,
 		Service:      r.Service.Name,
 		Organisation: r.Organisation.Name,
 		Weight:       r.Organisation.Weight,
-		Priority:     r.Organisation.Priority,
+		Priority:     r.Organisation.Priority || place.First,
 		Cost:         r.Cost,
 		Deadline:     r.Deadline,
 		OnTime:       onTime(r),
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -46,7 +46,9 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	waiting    map[string]chan answer
-	boards     *boards
+	// moves hold, for each attempt that runs, what asks it to go on elsewhere.
+	moves  map[string]chan struct{}
+	boards *boards
 	// listed are the upstreams that the platform lists now, by ID, groups their groups.
 	listed    map[string]dispatch.Upstream
 	groups    map[string]dispatch.GroupState
@@ -63,7 +65,8 @@
 func NewDirect(cfg dispatch.Config, probe func(ctx context.Context, address string) error, client *http.Client) *Direct {
 	f := &Direct{
 		probe: probe, log: logging.For("fleet"), dispatcher: dispatch.New(cfg),
-		waiting: make(map[string]chan answer), reach: reach.New(), lost: make(chan struct{}),
+		waiting: make(map[string]chan answer), moves: make(map[string]chan struct{}),
+		reach: reach.New(), lost: make(chan struct{}),
 	}
 	f.boards = &boards{http: client, log: f.log, take: f.setBoard, agents: f.coordinators, busy: f.busy}
 	return f
@@ -163,12 +166,20 @@
 		case now := <-tick.C:
 			f.step(func(d *dispatch.Dispatcher) []dispatch.Decision { return d.Tick(now) })
 			f.mu.Lock()
+			f.move(now)
 			f.look(ctx, now)
 			f.mu.Unlock()
 		}
 	}
 }
 
+// move asks the attempts that should go on elsewhere to do so. The caller holds the lock.
+func (f *Direct) move(now time.Time) {
+	for _, id := range f.dispatcher.Moves(now) {
+		close(f.moves[id])
+	}
+}
+
 // step gives the dispatcher an event and tells the waiting requests what follows.
 func (f *Direct) step(event func(*dispatch.Dispatcher) []dispatch.Decision) {
 	f.mu.Lock()
@@ -189,11 +200,14 @@
 		return answer{err: d.Refusal}
 	}
 	u := d.Upstream
+	move := make(chan struct{})
+	f.moves[d.ID] = move
 	return answer{upstream: Upstream{
 		Report:  api.Report{Upstream: u.ID, FailureDomain: u.FailureDomain, Service: u.Service, Incarnation: u.Incarnation},
 		Address: u.Address,
 		Why:     d.Why(),
 		Lost:    f.lost,
+		Move:    move,
 	}}
 }
 
@@ -264,6 +278,7 @@
 		default:
 			f.reached(upstream, true, now)
 		}
+		delete(f.moves, requestID)
 		return d.Ended(requestID, kind, now)
 	})
 }
@@ -283,6 +298,8 @@
 		return dispatch.FailureUnreachable
 	case problem.ReasonUpstreamError:
 		return dispatch.FailureError
+	case problem.ReasonUpstreamSlow:
+		return dispatch.FailureSlow
 	default:
 		return dispatch.FailureBroken
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -57,6 +57,8 @@
 	// Lost is closed when the entry finds that it can't reach any upstream. It may
 	// be nil.
 	Lost <-chan struct{}
+	// Move is closed when the attempt should go on at another upstream. It may be nil.
+	Move <-chan struct{}
 }
 
 // Fleet is an entry's view of its upstreams.
--- a/pkg/retry/names.go
+++ b/pkg/retry/names.go
@@ -19,6 +19,8 @@
 		return "another run gave another answer"
 	case Errored:
 		return "the upstream answered with an error"
+	case Moved:
+		return "the upstream is slow, and another one was acquired"
 	case Complete:
 		return "the whole answer was relayed"
 	default:
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -40,6 +40,9 @@
 	// Errored means that the upstream answered with an error of its own, which is
 	// held and can still be given to the caller.
 	Errored
+	// Moved means that the attempt was ended to go on at another upstream, which has been
+	// acquired. Its retry was spent before.
+	Moved
 )
 
 // Action is what the entry does next.
@@ -113,6 +116,9 @@
 		return r.unsent(now)
 	case Errored:
 		return r.errored(budget, now)
+	case Moved:
+		r.MaybeRan, r.Resumes = true, 0
+		return Again
 	default:
 		return r.unknown(budget, now)
 	}
@@ -153,6 +159,12 @@
 	return Again
 }
 
+// MayMove reports whether the running attempt may be ended to go on at another upstream.
+// It may be called while the attempt runs.
+func (r *Request) MayMove(now time.Time) bool {
+	return r.Idempotent && now.Before(r.Deadline) && (r.MaxAttempts == 0 || r.Attempts < r.MaxAttempts)
+}
+
 func (r *Request) again(budget Spender, now time.Time) Action {
 	if !r.mayRepeat(now) || !budget.Spend(now) {
 		return r.refusal()
