Repeat orders without an answer at once, and place switches by recent armings

Cause: while orders get lost, a rank's arming was given again only after its 100 ms and another reading, so a pass that a switch holds stood still for 0.24 s and every stream of the group was late. The next switch was placed by the latest arming alone, which may have had it easy. Ruled out: reading the ranks (10 ms), preparing (no pass waits for it). Change: the agent beside a rank repeats an order after 30 ms, an order to another host is repeated after 45 ms, within the same 100 ms; a refusal after a lost answer counts as no answer. Switches are placed by the longest arming of the latest rounds, decaying.

--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -137,8 +137,8 @@
 	// began, placed and released are when the round began, chose its pass and let
 	// it go.
 	began, placed, released time.Time
-	// passTime is the usual time of a pass, armTime how long the latest round was
-	// at arming.
+	// passTime is the usual time of a pass, armTime how long the latest rounds were at
+	// arming at most, the earlier ones counting less.
 	passTime, armTime time.Duration
 	events            []Event
 }
@@ -421,6 +421,15 @@
 // of one: a rank that was not read for long tells little.
 const maxPasses = 100
 
+// armDecay is what remains of the time of an earlier round's arming with each round.
+// Answers that get lost come in spells, so the next round is likely to need as long.
+const armDecay = 0.8
+
+// armedIn records how long a round was at arming.
+func (c *Coordinator) armedIn(took time.Duration) {
+	c.armTime = max(took, time.Duration(armDecay*float64(c.armTime)))
+}
+
 // distance returns how many passes ahead a switch is placed, so that the ranks are
 // armed before it is due.
 func (c *Coordinator) distance() uint64 {
--- a/pkg/expertmap/holdswitch/step.go
+++ b/pkg/expertmap/holdswitch/step.go
@@ -257,7 +257,7 @@
 		Prepare: c.placed.Sub(c.began), Arm: c.released.Sub(c.placed), Settle: now.Sub(c.released),
 	})
 	c.current = c.target
-	c.armTime = c.released.Sub(c.placed)
+	c.armedIn(c.released.Sub(c.placed))
 	c.forget()
 }
 
--- a/pkg/lockstep/ask.go
+++ b/pkg/lockstep/ask.go
@@ -30,6 +30,11 @@
 	// orderTimeout bounds an order to an engine, so that its agent can still answer
 	// that it has no answer.
 	orderTimeout = 100 * time.Millisecond
+	// ownOrderTry and farOrderTry bound one try of an order to the own rank and to one on
+	// another host, so that several fit into orderTimeout. An engine answers within a
+	// millisecond; agents have a part of a core.
+	ownOrderTry = 30 * time.Millisecond
+	farOrderTry = 45 * time.Millisecond
 	// copyPatience is how long an agent waits for its rank to copy what it was told
 	// to prepare, before it answers. With the order itself it stays below callTimeout.
 	copyPatience = 80 * time.Millisecond
@@ -217,9 +222,7 @@
 func (a *Agent) orderOwn(ctx context.Context, o holdswitch.Order) holdswitch.Verdict {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout+copyPatience)
 	defer cancel()
-	orderCtx, done := context.WithTimeout(ctx, orderTimeout)
-	defer done()
-	verdict := a.engine.Order(orderCtx, o).Verdict
+	verdict := repeatOrder(ctx, a.engine, o, ownOrderTry).Verdict
 	if o.Kind != holdswitch.OrderPrepare || o.Void || verdict != holdswitch.Done {
 		return verdict
 	}
@@ -231,6 +234,29 @@
 	return verdict
 }
 
+// repeatOrder gives an engine an order, again while it does not answer: an engine that
+// loses some answers answers the next one, and a held pass waits for no more than that.
+// Orders are safe to repeat. A refusal after a try without an answer tells nothing, as the
+// earlier try may have been obeyed.
+func repeatOrder(ctx context.Context, e Engine, o holdswitch.Order, try time.Duration) holdswitch.Result {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	unanswered := false
+	for ctx.Err() == nil {
+		one, done := context.WithTimeout(ctx, try)
+		res := e.Order(one, o)
+		done()
+		switch {
+		case res.Verdict == holdswitch.Done, res.Verdict == holdswitch.Refused && !unanswered:
+			return res
+		case res.Verdict == holdswitch.Refused:
+			return holdswitch.Result{Verdict: holdswitch.Unanswered}
+		}
+		unanswered = true
+	}
+	return holdswitch.Result{Verdict: holdswitch.Unanswered}
+}
+
 // picks returns what each expert was chosen since the last question of an asker,
 // packed, nil when that is not known.
 func (a *Agent) picks(ctx context.Context, asker int) []byte {
@@ -285,9 +311,7 @@
 
 // orderStraight gives an engine on another host an order.
 func (a *Agent) orderStraight(ctx context.Context, o holdswitch.Order, t target) answer {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	res := a.cfg.Direct(t.Engine).Order(ctx, o)
+	res := repeatOrder(ctx, a.cfg.Direct(t.Engine), o, farOrderTry)
 	out := answer{Rank: t.Rank, Verdict: res.Verdict}
 	if res.State != nil {
 		out.Reading = &Reading{State: *res.State}
