Let a held pass go sooner when its coordinator falls silent

Cause: a coordinator whose host stood still just after it held a pass left the group without passes for 0.75 to 0.85 s: its successor, which begins after 0.4 s of silence, waited for the silent rank for another 0.3 s. When the host came back it found all agents silent, did not ask them for a second, and a third agent took over beside it, which held passes for up to 0.6 s more. In some schedules the successor held at a rank that does not end an undoing without the rank out of reach, only because its own hold rank had yet to be read; the group then stood until the host was back. Ruled out: a slow undoing (65 ms). Change: a successor takes the ranks before it as missing since they fell silent; standbys are asked also while they count as silent; an undoing waits for the reading of its own hold ranks.

--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -186,20 +186,26 @@
 // chooseHold takes the rank at which the pass of a round to undo will be held: one
 // that held nothing since this coordinator began, so that nobody has a reason to let
 // it go, and which no late order lets go. Once every rank holds, it takes one that
-// is not armed. It reports false when there is none.
-func (c *Coordinator) chooseHold() bool {
+// is not armed. It reports false when there is none, or while one of its own hold ranks
+// has yet to be read: only a hold there ends an undoing without a rank out of reach.
+func (c *Coordinator) chooseHold(now time.Time) bool {
 	ranks := []int{c.holdRankOf(c.cfg.Rank), c.cfg.Rank}
 	for r := c.cfg.Ranks - 1; r >= 2*c.cfg.Standbys; r-- {
 		ranks = append(ranks, r)
 	}
+	unread := false
 	for _, held := range []bool{false, true} {
 		for i, r := range ranks {
 			v := &c.ranks[r]
 			if !v.known || v.stale || v.letGo >= c.step || v.asOf.Before(c.since) {
 				// The next reading may tell of a later state.
 				v.stale = v.stale || v.asOf.Before(c.since)
+				unread = unread || i < ownHolds && v.stale && !c.absent(r, now)
 				continue
 			}
+			if i >= ownHolds && unread {
+				return false
+			}
 			if v.state.Held == nil || held && *v.state.Held == c.step && v.state.Armed == nil {
 				c.holdAt = r
 				c.alone = i < ownHolds && v.state.Held == nil
@@ -272,6 +278,14 @@
 	}
 }
 
+// Missing records that a rank's host has been silent since a time before this coordinator
+// began, so that its undoing need not wait for that rank once more.
+func (c *Coordinator) Missing(rank int, since time.Time) {
+	if v := &c.ranks[rank]; !v.known {
+		v.missed = since
+	}
+}
+
 // Propose begins a round that replaces the map in force. It reports false unless
 // the coordinator is idle and knows every rank.
 func (c *Coordinator) Propose(m *expertmap.Map, now time.Time) bool {
--- a/pkg/expertmap/holdswitch/schedule_test.go
+++ b/pkg/expertmap/holdswitch/schedule_test.go
@@ -157,6 +157,12 @@
 			return above + 1 + expertmap.Version(random.Int64N(1<<20))
 		},
 	})
+	if !w.calm && w.rand.IntN(2) == 0 {
+		// It has not heard the ranks before its own, whether or not they are there.
+		for rank := range a.rank {
+			a.c.Missing(rank, w.time().Add(-time.Second))
+		}
+	}
 }
 
 // step moves time on by a little.
--- a/pkg/expertmap/holdswitch/undo.go
+++ b/pkg/expertmap/holdswitch/undo.go
@@ -23,7 +23,7 @@
 // one first.
 func (c *Coordinator) undoForeign(step uint64, now time.Time) {
 	c.step, c.version, c.foreign = step, 0, true
-	if !c.chooseHold() {
+	if !c.chooseHold(now) {
 		return
 	}
 	c.note("undo: found an unfinished round", wholeGroup)
--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -239,6 +239,7 @@
 	for rank := range a.place.Rank {
 		// They have gone silent, or they would coordinate.
 		a.silent.mark(rank, now)
+		a.run.coordinator.Missing(rank, now.Add(-patience))
 	}
 	a.log.WithFields(logrus.Fields{"epoch": a.place.Epoch, "rank": a.place.Rank, "ranks": a.place.Ranks}).Info("coordinating")
 	a.stats.coordinating.Set(1)
--- a/pkg/lockstep/ask.go
+++ b/pkg/lockstep/ask.go
@@ -289,7 +289,9 @@
 // askOne asks one rank through its agent, or straight when the agent does not
 // answer. An engine does not tell other hosts what it has counted.
 func (a *Agent) askOne(ctx context.Context, q *ask, t target) answer {
-	if !a.silent.is(t.Rank, time.Now()) {
+	if !a.silent.is(t.Rank, time.Now()) || q.Order == nil && t.Rank < Standbys {
+		// Standbys hear the coordinator by its questions, also after it was itself
+		// silent and found them so.
 		one := *q
 		one.Ranks = []target{t}
 		out, err := a.call(ctx, t.Agent, &one, callTimeout)
