Place switches so far ahead that no pass waits for the arming

Ruled out: too many requests at a rank (at most 7 of 10), reading of prompts, the skew of the first map. Change: a switch is placed by the time of arming, rounded up to passes, beside the one under way; before a round has shown it, 2 ms a rank.

--- a/pkg/expertmap/holdswitch/coordinator.go
+++ b/pkg/expertmap/holdswitch/coordinator.go
@@ -145,7 +145,10 @@
 
 // New returns a coordinator that knows nothing of its ranks.
 func New(cfg Config) *Coordinator {
-	c := &Coordinator{cfg: cfg, ranks: make([]rankView, cfg.Ranks), phase: PhaseIdle, margin: cfg.Margin}
+	c := &Coordinator{
+		cfg: cfg, ranks: make([]rankView, cfg.Ranks), phase: PhaseIdle, margin: cfg.Margin,
+		armTime: time.Duration(cfg.Ranks) * armPerRank,
+	}
 	c.holdAt = c.holdRankOf(cfg.Rank)
 	return c
 }
@@ -435,6 +438,10 @@
 // of one: a rank that was not read for long tells little.
 const maxPasses = 100
 
+// armPerRank is how long arming is expected to take for each rank before a round has
+// shown it: a coordinator has a part of a core.
+const armPerRank = 2 * time.Millisecond
+
 // armDecay is what remains of the time of an earlier round's arming with each round.
 // Answers that get lost come in spells, so the next round is likely to need as long.
 const armDecay = 0.8
@@ -445,12 +452,12 @@
 }
 
 // distance returns how many passes ahead a switch is placed, so that the ranks are
-// armed before it is due.
+// armed before it is due: the pass that is under way counts for nothing.
 func (c *Coordinator) distance() uint64 {
 	if c.passTime <= 0 {
 		return c.cfg.Margin
 	}
-	passes := 1 + uint64(c.armTime/c.passTime)
+	passes := 1 + uint64((c.armTime+c.passTime-1)/c.passTime)
 	return min(maxMargin, max(c.cfg.Margin, passes))
 }
 
