Bound what upstreams and peers send without end

Cause: an upstream in trouble may send bytes that are no answer until its caller closes. A head had no bound: a status line, a field, fields or bytes of no protocol filled the entry's memory until the request's deadline. A torn event was kept without a bound, and so was an answer that is no stream. After a refusal with more than 8 KB of body the connection was given back with the rest still to come, which would have been read as the next request's answer. Engines' and agents' answers were decoded without a bound. Ruled out: sizes, extensions and trailers of chunks (the library bounds them). The IDs of events must grow, so that no second answer gets into a stream.

--- a/pkg/agent/upstream.go
+++ b/pkg/agent/upstream.go
@@ -31,6 +31,7 @@
 const (
 	maxAnswerPart  = 32 << 10
 	maxAnswerBytes = 32 << 20
+	maxReportBytes = 64 << 10
 )
 
 // loadReport is an upstream's own report of its load.
@@ -105,7 +106,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return report, errors.Errorf("load report answered %d; check the upstream", resp.StatusCode)
 	}
-	return report, errors.WithStack(json.NewDecoder(resp.Body).Decode(&report))
+	return report, errors.WithStack(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report))
 }
 
 // answer takes the parts of an upstream's answer.
--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -36,12 +36,13 @@
 			x.written <- err
 		}()
 	}
+	x.conn.head.begin()
 	response, err := http.ReadResponse(x.conn.reader, req)
 	if err != nil {
 		return errors.Wrap(err, "no answer")
 	}
 	x.response = response
-	return nil
+	return x.conn.head.end()
 }
 
 // Status returns the status of the answer.
--- a/pkg/connpool/pool.go
+++ b/pkg/connpool/pool.go
@@ -60,6 +60,7 @@
 type conn struct {
 	net.Conn
 	address string
+	head    *headReader
 	reader  *bufio.Reader
 	// rests is when the connection began to rest, maxRest how long it may.
 	rests   time.Time
@@ -158,7 +159,8 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	head := &headReader{Conn: raw}
+	return &conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, bufferBytes)}, nil
 }
 
 // kept returns the connection that has rested least, if it can still be used.
--- a/pkg/hosts/hosts.go
+++ b/pkg/hosts/hosts.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -32,6 +33,9 @@
 	Leaving bool `json:"leaving"`
 }
 
+// maxListBytes bounds the list: some hundred bytes for each of some thousand hosts.
+const maxListBytes = 4 << 20
+
 // Client reads the host list.
 type Client struct {
 	url  string
@@ -58,7 +62,7 @@
 		return nil, errors.Errorf("host list answered %d; the last known hosts stay in use", resp.StatusCode)
 	}
 	var list []Host
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, errors.Wrap(err, "host list can't be read; the last known hosts stay in use")
 	}
 	return list, nil
--- a/pkg/lockstep/ask.go
+++ b/pkg/lockstep/ask.go
@@ -40,6 +40,8 @@
 	copyPatience = 80 * time.Millisecond
 	// copyInterval is the time between two looks meanwhile.
 	copyInterval = 10 * time.Millisecond
+	// maxAskBytes bounds a question and its answers: a map, or the picks of some ranks.
+	maxAskBytes = 4 << 20
 )
 
 // target is a rank that is asked.
@@ -146,6 +148,7 @@
 func (a *Agent) Register(g *echo.Group) {
 	g.POST(pathAsk, func(c echo.Context) error {
 		var q ask
+		c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxAskBytes)
 		if err := c.Bind(&q); err != nil {
 			return c.NoContent(http.StatusBadRequest)
 		}
@@ -339,11 +342,12 @@
 		return nil, errors.WithStack(err)
 	}
 	defer resp.Body.Close()
+	body := io.LimitReader(resp.Body, maxAskBytes)
 	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, resp.Body)
+		_, _ = io.Copy(io.Discard, body)
 		return nil, errors.Errorf("agent answered %d; ask it again later", resp.StatusCode)
 	}
 	var out answers
-	err = json.NewDecoder(resp.Body).Decode(&out)
+	err = json.NewDecoder(body).Decode(&out)
 	return out.Answers, errors.WithStack(err)
 }
--- a/pkg/stream/events_test.go
+++ b/pkg/stream/events_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,8 +9,52 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+	"github.com/pkg/errors"
 )
 
+// push gives a sound part of a stream.
+func push(t *testing.T, e *Events, part string) string {
+	t.Helper()
+	whole, err := e.Push([]byte(part))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(whole)
+}
+
+// TestAnEventWithoutEnd answers the pattern of a server in trouble that sends bytes which
+// never become an event: little of it is held.
+func TestAnEventWithoutEnd(t *testing.T) {
+	var e Events
+	push(t, &e, "id: 1\ndata: a\n\n")
+	part := bytes.Repeat([]byte("x"), 4<<10)
+	for range 1 << 10 {
+		if _, err := e.Push(part); err != nil {
+			if !errors.Is(err, ErrEventTooLong) || e.LastID() != "1" || cap(e.rest) > 4*maxEventBytes {
+				t.Errorf("%v after event %s, %d bytes held", err, e.LastID(), cap(e.rest))
+			}
+			return
+		}
+	}
+	t.Error("4 MiB passed for the beginning of an event")
+}
+
+// TestASecondAnswerInAStream lets the events of another answer, or of a second copy of the
+// same one, get into a stream: none of them is passed on.
+func TestASecondAnswerInAStream(t *testing.T) {
+	for name, second := range map[string]string{
+		"a copy from the start": "id: 1\ndata: a\n\n",
+		"the latest event":      "id: 2\ndata: b\n\n",
+		"behind a head":         "HTTP/1.1 200 OK\nX: y\n\nid: 1\ndata: other\n\n",
+	} {
+		var e Events
+		push(t, &e, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+		if whole, err := e.Push([]byte(second)); !errors.Is(err, ErrEventOrder) || len(whole) > 0 || e.LastID() != "2" {
+			t.Errorf("%s: %q, %v, last event %s", name, whole, err, e.LastID())
+		}
+	}
+}
+
 // TestEventsAreWholeHoweverTheyArrive cuts a stream anywhere: what goes on is whole
 // events in order, and what is left is a torn one.
 func TestEventsAreWholeHoweverTheyArrive(t *testing.T) {
@@ -26,10 +71,10 @@
 		out := ""
 		for _, cut := range cuts {
 			size := min(cut, len(raw))
-			out += string(e.Push([]byte(raw[:size])))
+			out += push(t, &e, raw[:size])
 			raw = raw[size:]
 		}
-		out += string(e.Push([]byte(raw)))
+		out += push(t, &e, raw)
 		last := ""
 		if n > 0 {
 			last = fmt.Sprint(n)
@@ -42,9 +87,9 @@
 // TestTornEventIsDroppedBeforeTheStreamGoesOn resumes a stream elsewhere.
 func TestTornEventIsDroppedBeforeTheStreamGoesOn(t *testing.T) {
 	var e Events
-	e.Push([]byte("id: 1\ndata: a\n\nid: 2\nda"))
+	push(t, &e, "id: 1\ndata: a\n\nid: 2\nda")
 	e.Drop()
-	if got := string(e.Push([]byte("id: 2\ndata: b\n\n"))); got != "id: 2\ndata: b\n\n" || e.LastID() != "2" || e.Torn() {
+	if got := push(t, &e, "id: 2\ndata: b\n\n"); got != "id: 2\ndata: b\n\n" || e.LastID() != "2" || e.Torn() {
 		t.Errorf("went on with %q, last %s, torn %v", got, e.LastID(), e.Torn())
 	}
 }
