--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -290,6 +290,9 @@
 	if len(r.TriedUpstreams) > 0 {
 		fields["upstreams"] = r.TriedUpstreams
 	}
+	if len(r.SharedParts) > 0 {
+		fields["prompt_parts"] = r.SharedParts
+	}
 	if !r.FirstPartAt.IsZero() {
 		fields["first_part_ms"] = r.FirstPartAt.Sub(r.ReceivedAt).Milliseconds()
 		fields["longest_pause_ms"] = r.LongestPause.Milliseconds()
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -38,8 +38,46 @@
 	// NewBudget returns the retry budget of a service. If it is nil, all
 	// services share one budget with RetryRatio and RetryBurst.
 	NewBudget func() Budget
+	// Guard observes the attempts. If it is nil, nothing does.
+	Guard Guard
 }
 
+// Guard observes attempts, to find out which requests end upstreams. Its methods identify
+// an attempt by the ID of its ticket.
+type Guard interface {
+	// RecordStart records that an attempt is sent to an upstream.
+	RecordStart(ticketID string, r *pipe.Request, u fleet.Upstream)
+	// RecordPart records that a part of the response has arrived.
+	RecordPart(ticketID string)
+	// RecordEnd records that the attempt has ended.
+	RecordEnd(ticketID string, end End)
+}
+
+// End is how an attempt ended, as far as it tells about its upstream.
+type End int
+
+// Ends of attempts.
+const (
+	// EndOther means that the upstream responded, or that the caller or the entry ended
+	// the attempt.
+	EndOther End = iota
+	// EndComplete means that the whole response has arrived.
+	EndComplete
+	// EndBroken means that the upstream broke the attempt off.
+	EndBroken
+	// EndUnreachable means that the upstream took no connection.
+	EndUnreachable
+	// EndReplaced means that another upstream has the address.
+	EndReplaced
+)
+
+// noGuard is a Guard that observes nothing.
+type noGuard struct{}
+
+func (noGuard) RecordStart(string, *pipe.Request, fleet.Upstream) {}
+func (noGuard) RecordPart(string)                                 {}
+func (noGuard) RecordEnd(string, End)                             {}
+
 // Budget limits the retries at a service.
 type Budget interface {
 	retry.Spender
@@ -81,6 +119,14 @@
 	return &filter{cfg: cfg, fleet: f, transport: transport, retries: retries, budgets: make(map[string]Budget)}
 }
 
+// guard returns the observer of attempts.
+func (f *filter) guard() Guard {
+	if f.cfg.Guard == nil {
+		return noGuard{}
+	}
+	return f.cfg.Guard
+}
+
 // budget returns the retry budget of a service. The caller holds the lock.
 func (f *filter) budget(service string) Budget {
 	b, ok := f.budgets[service]
@@ -176,7 +222,12 @@
 	}
 	j.request.TriedUpstreams = append(j.request.TriedUpstreams, u.Report.Upstream)
 	failed := true
-	defer func() { j.release(failed) }()
+	j.guard().RecordStart(j.ticketID, j.request, u)
+	end := EndOther
+	defer func() {
+		j.guard().RecordEnd(j.ticketID, end)
+		j.release(failed)
+	}()
 	result := j.readResponse(ctx, u, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.state.Attempts, j) })
 	for {
 		if result.Err == nil && errors.Is(ctx.Err(), context.Canceled) {
@@ -188,6 +239,7 @@
 			j.abandon(u, j.state.Attempts)
 			return retry.ActionFinish, result.Err
 		}
+		end = endOf(result)
 		action := j.nextAction(result.Event)
 		j.request.RecordDecision(action.String(), result.Event.String(), u.Report.Upstream)
 		switch action {
@@ -211,6 +263,26 @@
 	}
 }
 
+// endOf returns how an attempt with a result ended.
+func endOf(result Result) End {
+	if result.Event == retry.EventComplete {
+		return EndComplete
+	}
+	if result.Refusal == nil {
+		return EndOther
+	}
+	switch problem.Reason(result.Refusal.Reason) {
+	case problem.ReasonUpstreamFailed:
+		return EndBroken
+	case problem.ReasonUpstreamUnreachable:
+		return EndUnreachable
+	case problem.ReasonWrongIncarnation:
+		return EndReplaced
+	default:
+		return EndOther
+	}
+}
+
 // release releases the upstream with the reason of a failed attempt.
 func (j *job) release(failed bool) {
 	reason := problem.Reason("")
@@ -301,6 +373,7 @@
 	r.ActualCost++
 	r.RecordPart(time.Now())
 	j.fleet.RecordPart(j.ticketID)
+	j.guard().RecordPart(j.ticketID)
 	err := r.Reply.WriteData(part)
 	j.state.RecordProgress(r.Reply.HasStarted())
 	return err
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -214,6 +214,8 @@
 	return acquireResult{upstream: Upstream{
 		Report:          api.Report{Upstream: u.ID, FailureDomain: u.FailureDomain, Service: u.Service, Incarnation: u.Incarnation},
 		Address:         u.Address,
+		Group:           u.Group.Name,
+		Epoch:           u.Group.Epoch,
 		SelectionReason: d.SelectionReason(),
 		EntryCutOff:     f.entryCutOff,
 		MoveRequested:   moveRequested,
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -54,6 +54,10 @@
 type Upstream struct {
 	Report  api.Report
 	Address string
+	// Group and Epoch are those of a rank that the entry calls itself. Group is empty for
+	// any other upstream.
+	Group string
+	Epoch uint64
 	// Entry is the name of the entry that dispatched the request.
 	Entry string
 	// SelectionReason describes why this upstream was selected. It is empty if the
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -69,6 +69,9 @@
 	PromptCost float64
 	// Prefix is the hash of the prompt's leading blocks, 0 if there are none.
 	Prefix uint64
+	// SharedParts are the IDs of the parts of the prompt that other requests may have in
+	// common with it, in order. They are known only where callers name them.
+	SharedParts []string
 	// ActualCost is the cost in tokens of the response so far, without the prompt. Each
 	// part that arrives counts as one token.
 	ActualCost float64
