Keep parts of prompts that end upstreams away from them

Callers saw: while requests with one part of a prompt came, nearly all streams were refused (group_stopped) or cut for half a minute: each such request, new or repeated, ended the next upstream, and in a group all ranks stop for seconds. Cause: nothing learned from the end of an upstream. A request whose attempt broke off was sent to the next upstream by the entry, by its caller, and by other callers. Evidence: at each of 17 ends one request had not begun that has the same part; it never began anywhere. Change: package quarantine blames the parts of the requests that had not begun at an upstream that ended, and refutes those with which a response has begun well since, at any entry; parts that had begun before count only if upstreams end repeatedly. A suspected part is tried by one request at a time, a quarantined one is refused as prompt_quarantined, also for retries, moved streams, waiting requests and those that have not begun. Reports are merged in any order, sent to all entries at once, compared every second or two, and kept in the platform's store while they support a quarantine. Operators list and release parts. Why it works: the part is the only thing that all ends have in common, and a single beginning clears any other.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -1,9 +1,17 @@
-// Package crashguard watches an entry's attempts for upstreams that end, and logs what was
-// running there. Package quarantine decides; this package does its I/O.
+// Package crashguard keeps requests from upstreams that they would end. Package quarantine
+// decides; this package feeds it with an entry's attempts, probes upstreams at which
+// attempts broke off, exchanges reports with the other entries, and keeps those because of
+// which parts of prompts are quarantined in the platform's store.
+//
+// Entries send a new report to all others at once. Every few seconds each entry also
+// compares its reports with those of a random other one, so that an entry that was
+// unreachable, or has just started, gets what it missed. The store is only needed when no
+// other entry is left that knows: after all of them have restarted.
 package crashguard
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -14,96 +22,296 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
+	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/quarantine"
 )
 
-// probeTimeout limits the probe of an upstream at which an attempt broke off. An upstream
-// that has ended refuses connections within milliseconds.
-const probeTimeout = 500 * time.Millisecond
+// Times of a guard.
+const (
+	// probeTimeout limits the probe of an upstream at which an attempt broke off. An
+	// upstream that has ended refuses connections within milliseconds.
+	probeTimeout = 500 * time.Millisecond
+	// maxWait limits how long a request waits for a trial or a conclusion. Callers of
+	// streams disconnect after two seconds without a response.
+	maxWait = time.Second
+	// trialRetryInterval is the time after which a request that waits asks for a trial
+	// again. A trial takes about as long as the first part of a response.
+	trialRetryInterval = 100 * time.Millisecond
+	// suspectedRetryAfter is the retry delay of a request that has waited in vain.
+	suspectedRetryAfter = time.Second
+)
+
+// Config configures a guard.
+type Config struct {
+	// Entry is the name of this entry.
+	Entry string
+	// Seed seeds the random delays.
+	Seed uint64
+	// Probe opens a connection to an upstream. Its error has syscall.ECONNREFUSED in its
+	// chain if the upstream refuses the connection.
+	Probe func(ctx context.Context, address string) error
+	// Hosts returns the hosts of the system, Peers calls the entries among them.
+	Hosts func() []hosts.Host
+	Peers *peer.EntryClient
+	// Store keeps reports. If it is nil, they are lost when all entries restart.
+	Store    Store
+	Registry prometheus.Registerer
+}
 
 // Guard implements attempt.Guard. It is safe for concurrent use.
 type Guard struct {
-	// probe opens a connection to an upstream.
-	probe  func(ctx context.Context, address string) error
-	losses *prometheus.CounterVec
-	log    *logrus.Entry
-
-	mu       sync.Mutex
-	detector *quarantine.LossDetector
-	// addresses are those of the upstreams of running attempts, by ticket ID.
-	addresses map[string]string
-	// probing are the upstreams that are being probed.
-	probing map[quarantine.UpstreamKey]bool
-}
-
-// New returns a guard. probe opens a connection to an upstream and returns an error with
-// syscall.ECONNREFUSED in its chain if the upstream refuses it.
-func New(probe func(ctx context.Context, address string) error, registry prometheus.Registerer) *Guard {
-	g := &Guard{
-		probe: probe, log: logging.For("crashguard"), detector: quarantine.NewLossDetector(),
-		addresses: make(map[string]string), probing: make(map[quarantine.UpstreamKey]bool),
-		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "acaciaglade_upstream_losses_total",
-			Help: "Upstreams that ended without notice while requests of this entry were there, by service and whether any of these had not begun.",
-		}, []string{"service", "unbegun"}),
-	}
-	registry.MustRegister(g.losses)
-	return g
-}
-
-// RecordStart implements attempt.Guard.
-func (g *Guard) RecordStart(ticketID string, r *pipe.Request, u fleet.Upstream) {
+	cfg     Config
+	metrics *metrics
+	log     *logrus.Entry
+	// wake makes Run look for reports to send.
+	wake chan struct{}
+	// synced is closed once the reports in the store are known.
+	synced     chan struct{}
+	syncedOnce sync.Once
+	// stored are the reports in the store.
+	stored *storedReports
+
+	mu         sync.Mutex
+	detector   *quarantine.LossDetector
+	quarantine *quarantine.Quarantine
+	trials     *quarantine.Trials
+	// passes are those whose attempts have not begun, by ID.
+	passes   map[string]*pass
+	lastPass uint64
+	// probes has a channel for each upstream that is being probed. It is closed at the end.
+	probes map[quarantine.UpstreamKey]chan struct{}
+	// changes is the value of Quarantine.Changes at the latest update, and changed is
+	// closed, and replaced, at each.
+	changes uint64
+	changed chan struct{}
+	// standings are those at the latest update.
+	standings map[standingKey]quarantine.Standing
+}
+
+// New returns a guard.
+func New(cfg Config) *Guard {
+	return &Guard{
+		cfg: cfg, metrics: newMetrics(cfg.Registry), log: logging.For("crashguard"), wake: make(chan struct{}, 1), synced: make(chan struct{}),
+		stored: newStoredReports(), detector: quarantine.NewLossDetector(), quarantine: quarantine.New(cfg.Entry, cfg.Seed),
+		trials: quarantine.NewTrials(), passes: make(map[string]*pass), probes: make(map[quarantine.UpstreamKey]chan struct{}),
+		changed: make(chan struct{}), standings: make(map[standingKey]quarantine.Standing),
+	}
+}
+
+// pass implements attempt.Pass.
+type pass struct {
+	guard                          *Guard
+	id                             string
+	service, organisation, request string
+	parts                          []string
+	// revoked ends when the permission is revoked by calling revoke.
+	revoked context.Context
+	revoke  context.CancelFunc
+	// trial is true if the attempt is a trial. trialAddress is the address of the entry that
+	// granted it, empty for this one.
+	trial        bool
+	trialAddress string
+	// upstream and address are set once the attempt is sent.
+	upstream quarantine.Upstream
+	address  string
+	sent     bool
+	begun    bool
+}
+
+// Admit implements attempt.Guard.
+func (g *Guard) Admit(ctx context.Context, r *pipe.Request, previous attempt.Pass) (attempt.Pass, error) {
+	waitCtx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	p, err := g.admit(waitCtx, r, previous)
+	if err == nil {
+		return p, nil
+	}
+	if ctx.Err() != nil {
+		return nil, problem.New(problem.ReasonDeadlineExceeded, "")
+	}
+	return nil, err
+}
+
+// admit decides about a request, again after each change, until waitCtx ends.
+func (g *Guard) admit(waitCtx context.Context, r *pipe.Request, previous attempt.Pass) (*pass, error) {
+	p := g.newPass(r)
+	if len(p.parts) == 0 {
+		g.track(p)
+		return p, nil
+	}
+	g.awaitKnowledge(waitCtx, p, previous)
+	for {
+		g.mu.Lock()
+		verdict := g.quarantine.Check(p.service, p.organisation, p.parts, time.Now())
+		changed := g.changed
+		if verdict.Action == quarantine.ActionPass {
+			g.passes[p.id] = p
+			g.mu.Unlock()
+			return p, nil
+		}
+		g.mu.Unlock()
+		switch {
+		case verdict.Action == quarantine.ActionRefuse:
+			return nil, refusal(&verdict, verdict.RetryAfter)
+		case verdict.Action == quarantine.ActionTrial && g.beginTrial(waitCtx, p):
+			if g.startTrial(p) {
+				return p, nil
+			}
+			continue
+		}
+		select {
+		case <-changed:
+		case <-time.After(trialRetryInterval):
+		case <-waitCtx.Done():
+			return nil, refusal(&verdict, suspectedRetryAfter)
+		}
+	}
+}
+
+// refusal returns the refusal of a request with a gated part.
+func refusal(v *quarantine.Verdict, after time.Duration) *problem.Problem {
+	return problem.New(problem.ReasonPromptQuarantined, v.Detail()).WithRetryAfter(after)
+}
+
+func (g *Guard) newPass(r *pipe.Request) *pass {
+	revoked, revoke := context.WithCancel(context.Background())
+	p := &pass{
+		guard: g, service: r.Service.Name, organisation: r.Organisation.Name, request: r.ID, parts: r.SharedParts,
+		revoked: revoked, revoke: revoke,
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.addresses[ticketID] = u.Address
+	g.lastPass++
+	p.id = strconv.FormatUint(g.lastPass, 10)
+	return p
+}
+
+// track adds a pass to those that may be revoked.
+func (g *Guard) track(p *pass) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.passes[p.id] = p
+}
+
+// awaitKnowledge waits until the verdict on a request with unproven parts can be based on
+// what is about to be known: the reports in the store after a start, and whether the
+// upstream has ended at which the request's previous attempt broke off.
+func (g *Guard) awaitKnowledge(ctx context.Context, p *pass, previous attempt.Pass) {
+	g.mu.Lock()
+	proven := g.quarantine.IsProven(p.service, p.parts, time.Now())
+	var probe chan struct{}
+	if last, ok := previous.(*pass); ok && !last.begun {
+		probe = g.probes[last.upstream.UpstreamKey]
+	}
+	g.mu.Unlock()
+	if proven {
+		return
+	}
+	select {
+	case <-g.synced:
+	case <-ctx.Done():
+	}
+	if probe == nil {
+		return
+	}
+	select {
+	case <-probe:
+	case <-ctx.Done():
+	}
+}
+
+// Revoked implements attempt.Pass.
+func (p *pass) Revoked() context.Context { return p.revoked }
+
+// RecordStart implements attempt.Pass.
+func (p *pass) RecordStart(u fleet.Upstream) {
+	g := p.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	p.sent, p.address = true, u.Address
+	p.upstream = quarantine.Upstream{
+		UpstreamKey: quarantine.UpstreamKey{ID: u.Report.Upstream, Incarnation: u.Report.Incarnation},
+		Service:     p.service, Group: u.Group, Epoch: u.Epoch,
+	}
+	g.quarantine.RecordSent(p.service, p.parts, now)
 	g.detector.RecordStart(quarantine.Attempt{
-		ID: ticketID, RequestID: r.ID, Organisation: r.Organisation.Name, Parts: r.SharedParts, SentAt: time.Now(),
-		Upstream: quarantine.Upstream{
-			UpstreamKey: quarantine.UpstreamKey{ID: u.Report.Upstream, Incarnation: u.Report.Incarnation},
-			Service:     r.Service.Name, Group: u.Group, Epoch: u.Epoch,
-		},
+		ID: p.id, RequestID: p.request, Organisation: p.organisation, Parts: p.parts, SentAt: now, Upstream: p.upstream,
 	})
 }
 
-// RecordPart implements attempt.Guard.
-func (g *Guard) RecordPart(ticketID string) {
+// RecordPart implements attempt.Pass.
+func (p *pass) RecordPart() {
+	g := p.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.detector.RecordPart(ticketID)
+	if a := g.detector.RecordPart(p.id); a != nil {
+		g.recordBegun(p)
+	}
 }
 
-// RecordEnd implements attempt.Guard.
-func (g *Guard) RecordEnd(ticketID string, end attempt.End) {
+// recordBegun records that the response of an attempt has begun well. The caller holds the
+// lock.
+func (g *Guard) recordBegun(p *pass) {
+	p.begun = true
+	delete(g.passes, p.id)
+	g.quarantine.RecordBegun(p.service, p.organisation, p.parts, time.Now())
+	g.update()
+	if p.trial {
+		g.endTrial(p, trialBegun)
+	}
+}
+
+// RecordEnd implements attempt.Pass.
+func (p *pass) RecordEnd(end attempt.End) {
+	p.revoke()
+	g := p.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := g.detector.RecordEnd(ticketID, end == attempt.EndBroken, time.Now())
-	address := g.addresses[ticketID]
-	delete(g.addresses, ticketID)
+	delete(g.passes, p.id)
+	a := g.detector.RecordEnd(p.id, end == attempt.EndBroken, time.Now())
+	if a != nil && end == attempt.EndComplete && !p.begun {
+		g.recordBegun(p)
+	}
+	if p.trial && !p.begun {
+		g.endTrial(p, trialOutcome(end))
+	}
 	if a == nil {
 		return
 	}
-	key := a.Upstream.UpstreamKey
 	switch end {
 	case attempt.EndReplaced:
-		g.confirm(key, quarantine.LossReplaced)
+		g.confirm(a.Upstream.UpstreamKey, quarantine.LossReplaced)
 	case attempt.EndBroken, attempt.EndUnreachable:
-		if !g.probing[key] {
-			g.probing[key] = true
-			go g.probeUpstream(key, address)
-		}
+		g.startProbe(a.Upstream.UpstreamKey, p.address)
+	}
+}
+
+// startProbe probes an upstream unless a probe of it runs. The caller holds the lock.
+func (g *Guard) startProbe(key quarantine.UpstreamKey, address string) {
+	if _, ok := g.probes[key]; ok {
+		return
 	}
+	done := make(chan struct{})
+	g.probes[key] = done
+	go func() {
+		defer close(done)
+		g.probe(key, address)
+	}()
 }
 
-// probeUpstream finds out whether an upstream still takes connections.
-func (g *Guard) probeUpstream(key quarantine.UpstreamKey, address string) {
+// probe finds out whether an upstream still takes connections.
+func (g *Guard) probe(key quarantine.UpstreamKey, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := g.probe(ctx, address)
+	err := g.cfg.Probe(ctx, address)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.probing, key)
+	delete(g.probes, key)
 	switch {
 	case err == nil:
 		g.detector.RecordReachable(key)
@@ -128,35 +336,64 @@
 	}
 }
 
-// maxLoggedAttempts is the largest number of attempts in one log line.
-const maxLoggedAttempts = 8
-
-// loggedAttempt is an attempt in a log line.
-type loggedAttempt struct {
-	Request      string   `json:"request"`
-	Organisation string   `json:"organisation"`
-	Parts        []string `json:"parts"`
-	SentMillis   int64    `json:"sent_ms_before"`
+// recordLoss logs and counts a loss and draws the conclusions. The caller holds the lock.
+func (g *Guard) recordLoss(loss *quarantine.Loss) {
+	g.logLoss(loss)
+	g.quarantine.RecordLoss(loss, time.Now())
+	g.update()
 }
 
-// recordLoss logs and counts a loss. The caller holds the lock.
-func (g *Guard) recordLoss(loss *quarantine.Loss) {
-	unbegun := "no"
-	if len(loss.Unbegun) > 0 {
-		unbegun = "yes"
+// update draws the conclusions from changes of the reports: it logs changed standings,
+// revokes passes, and wakes those who wait. The caller holds the lock.
+func (g *Guard) update() {
+	if g.changes == g.quarantine.Changes() {
+		return
 	}
-	g.losses.WithLabelValues(loss.Upstream.Service, unbegun).Inc()
-	logged := make([]loggedAttempt, 0, maxLoggedAttempts)
-	for _, a := range loss.Unbegun[:min(maxLoggedAttempts, len(loss.Unbegun))] {
-		logged = append(logged, loggedAttempt{
-			Request: a.RequestID, Organisation: a.Organisation, Parts: a.Parts, SentMillis: loss.NoticedAt.Sub(a.SentAt).Milliseconds(),
-		})
+	g.changes = g.quarantine.Changes()
+	now := time.Now()
+	g.logStandings(now)
+	for _, p := range g.passes {
+		verdict := g.quarantine.Check(p.service, p.organisation, p.parts, now)
+		if verdict.Action == quarantine.ActionRefuse || verdict.Action != quarantine.ActionPass && !p.trial && !p.sent {
+			p.revoke()
+		}
+	}
+	close(g.changed)
+	g.changed = make(chan struct{})
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Standings returns the parts that are suspected or quarantined.
+func (g *Guard) Standings() []quarantine.Standing {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantine.Standings(time.Now())
+}
+
+// Release ends the quarantine of a part at all entries. It returns false if no report has
+// the part.
+func (g *Guard) Release(service, part string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ok := g.quarantine.Release(service, part, time.Now())
+	g.update()
+	return ok
+}
+
+// IsSynced reports whether the reports in the store are known.
+func (g *Guard) IsSynced() bool {
+	select {
+	case <-g.synced:
+		return true
+	default:
+		return false
 	}
-	g.log.WithFields(logrus.Fields{
-		"upstream": loss.Upstream.ID, "incarnation": loss.Upstream.Incarnation, "service": loss.Upstream.Service,
-		"group": loss.Upstream.Group, "epoch": loss.Upstream.Epoch, "evidence": loss.Evidence,
-		"unbegun": logged, "unbegun_count": len(loss.Unbegun), "begun_count": loss.Begun, "sent_last_second": loss.RecentlySent,
-	}).Warn("upstream ended while requests were there")
 }
 
-var _ attempt.Guard = (*Guard)(nil)
+var (
+	_ attempt.Guard = (*Guard)(nil)
+	_ attempt.Pass  = (*pass)(nil)
+)
--- /dev/null
+++ b/pkg/crashguard/trial.go
@@ -0,0 +1,130 @@
+package crashguard
+
+import (
+	"context"
+	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/peer"
+	"github.com/acaciaglade/acaciaglade/pkg/quarantine"
+)
+
+// Limits of the calls for a trial.
+const (
+	// trialCallTimeout limits the call of one entry, many times the latency between hosts.
+	trialCallTimeout = 150 * time.Millisecond
+	// maxTrialCalls is the number of entries that are called, one after the other.
+	maxTrialCalls = 3
+)
+
+// Results of trials, as values of metric labels.
+const (
+	trialBegun        = "begun"
+	trialLost         = "broken_off"
+	trialInconclusive = "inconclusive"
+)
+
+func trialOutcome(end attempt.End) string {
+	if end == attempt.EndBroken {
+		return trialLost
+	}
+	return trialInconclusive
+}
+
+// beginTrial asks for the trial of a service. One entry, the same for all, grants it. If
+// that one can't be reached, the next ones in a common order are asked, and at last this
+// entry decides alone.
+func (g *Guard) beginTrial(ctx context.Context, p *pass) bool {
+	addresses := g.entryAddresses()
+	names := make([]string, 0, len(addresses))
+	for name := range addresses {
+		names = append(names, name)
+	}
+	call := peer.TrialRequest{Service: p.service, ID: g.cfg.Entry + "/" + p.id}
+	for range maxTrialCalls {
+		home := ceiling.HomeEntry(p.service, names)
+		if home == "" || home == g.cfg.Entry {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, trialCallTimeout)
+		reply, err := g.cfg.Peers.RequestTrial(callCtx, addresses[home], &call)
+		cancel()
+		if err == nil {
+			p.trialAddress = addresses[home]
+			return reply.Granted
+		}
+		names = without(names, home)
+	}
+	p.trialAddress = ""
+	return g.handleTrial(&call)
+}
+
+// entryAddresses returns the addresses of the entries by name, this one included.
+func (g *Guard) entryAddresses() map[string]string {
+	addresses := map[string]string{g.cfg.Entry: ""}
+	for _, h := range g.cfg.Hosts() {
+		if h.Role == hosts.RoleEntry {
+			addresses[h.Name] = h.Address
+		}
+	}
+	return addresses
+}
+
+func without(names []string, name string) []string {
+	var out []string
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// startTrial makes the pass a trial if that is still due. Otherwise it ends the trial.
+func (g *Guard) startTrial(p *pass) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.trial = true
+	verdict := g.quarantine.Check(p.service, p.organisation, p.parts, time.Now())
+	if verdict.Action != quarantine.ActionTrial {
+		g.endTrial(p, trialInconclusive)
+		return false
+	}
+	g.passes[p.id] = p
+	g.log.WithField("request", p.request).WithField("detail", verdict.Detail()).Info("trial of a part begins")
+	return true
+}
+
+// endTrial ends the trial of a pass. The caller holds the lock.
+func (g *Guard) endTrial(p *pass, result string) {
+	p.trial = false
+	g.metrics.trials.WithLabelValues(result).Inc()
+	call := peer.TrialRequest{Service: p.service, ID: g.cfg.Entry + "/" + p.id, End: true}
+	address := p.trialAddress
+	if address == "" {
+		g.trials.End(call.Service, call.ID)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), trialCallTimeout)
+		defer cancel()
+		if _, err := g.cfg.Peers.RequestTrial(ctx, address, &call); err != nil {
+			// The trial ends there by its timeout.
+			g.log.WithError(err).WithField("entry", address).Info("end of a trial not sent")
+		}
+	}()
+}
+
+// handleTrial grants or ends a trial.
+func (g *Guard) handleTrial(r *peer.TrialRequest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.End {
+		g.trials.End(r.Service, r.ID)
+		return false
+	}
+	granted, _ := g.trials.Begin(r.Service, r.ID, time.Now())
+	return granted
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/acaciaglade/acaciaglade/pkg/crashguard"
 	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/authenticate"
@@ -102,6 +103,8 @@
 	Fleet       Fleet
 	// Transport sends attempts to upstreams.
 	Transport attempt.Transport
+	// Guard keeps requests from upstreams that they would end. It may be nil.
+	Guard *crashguard.Guard
 	// Agents calls the agents of other hosts.
 	Agents   *peer.AgentClient
 	Registry *prometheus.Registry
@@ -115,6 +118,8 @@
 	fleet     Fleet
 	// peerSync is nil unless the entry relays tables.
 	peerSync *tablestore.PeerSync
+	// guard may be nil.
+	guard    *crashguard.Guard
 	ceilings *ceilings
 	// chain is the first filter. Each filter calls the next one.
 	chain    pipe.Handler
@@ -149,6 +154,7 @@
 		store:     deps.Store,
 		directory: deps.Directory,
 		fleet:     f,
+		guard:     deps.Guard,
 		ceilings:  newCeilings(cfg.Name, cfg.CeilingBurst, client, f.Hosts, f.EntryCount),
 		accounts:  newAccounts(cfg.Name, deps.Agents, f.Hosts, deps.Registry),
 		registry:  deps.Registry,
@@ -161,6 +167,10 @@
 	if routed {
 		operatorConfig.Directory = deps.Directory
 	}
+	if deps.Guard != nil {
+		cfg.Attempt.Guard = deps.Guard
+		operatorConfig.Quarantine = deps.Guard
+	}
 	e.api = operator.New(operatorConfig, deps.Store, f, client, deps.Agents)
 	deps.Store.RegisterMetrics(deps.Registry)
 	e.chain = attempt.New(cfg.Attempt, f, deps.Transport, deps.Registry)
@@ -210,6 +220,9 @@
 	e.store.RegisterPeerRoutes(peers)
 	e.accounts.registerPeerRoutes(peers)
 	e.ceilings.registerPeerRoutes(peers)
+	if e.guard != nil {
+		e.guard.RegisterPeerRoutes(peers)
+	}
 	e.api.Register(s)
 }
 
@@ -353,5 +366,8 @@
 		go e.peerSync.Run(ctx)
 	}
 	go e.ceilings.run(ctx)
+	if e.guard != nil {
+		go e.guard.Run(ctx)
+	}
 	e.fleet.Run(ctx)
 }
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -38,46 +38,11 @@
 	// NewBudget returns the retry budget of a service. If it is nil, all
 	// services share one budget with RetryRatio and RetryBurst.
 	NewBudget func() Budget
-	// Guard observes the attempts. If it is nil, nothing does.
+	// Guard keeps requests from upstreams that they would end. If it is nil, all requests
+	// are admitted.
 	Guard Guard
 }
 
-// Guard observes attempts, to find out which requests end upstreams. Its methods identify
-// an attempt by the ID of its ticket.
-type Guard interface {
-	// RecordStart records that an attempt is sent to an upstream.
-	RecordStart(ticketID string, r *pipe.Request, u fleet.Upstream)
-	// RecordPart records that a part of the response has arrived.
-	RecordPart(ticketID string)
-	// RecordEnd records that the attempt has ended.
-	RecordEnd(ticketID string, end End)
-}
-
-// End is how an attempt ended, as far as it tells about its upstream.
-type End int
-
-// Ends of attempts.
-const (
-	// EndOther means that the upstream responded, or that the caller or the entry ended
-	// the attempt.
-	EndOther End = iota
-	// EndComplete means that the whole response has arrived.
-	EndComplete
-	// EndBroken means that the upstream broke the attempt off.
-	EndBroken
-	// EndUnreachable means that the upstream took no connection.
-	EndUnreachable
-	// EndReplaced means that another upstream has the address.
-	EndReplaced
-)
-
-// noGuard is a Guard that observes nothing.
-type noGuard struct{}
-
-func (noGuard) RecordStart(string, *pipe.Request, fleet.Upstream) {}
-func (noGuard) RecordPart(string)                                 {}
-func (noGuard) RecordEnd(string, End)                             {}
-
 // Budget limits the retries at a service.
 type Budget interface {
 	retry.Spender
@@ -119,14 +84,6 @@
 	return &filter{cfg: cfg, fleet: f, transport: transport, retries: retries, budgets: make(map[string]Budget)}
 }
 
-// guard returns the observer of attempts.
-func (f *filter) guard() Guard {
-	if f.cfg.Guard == nil {
-		return noGuard{}
-	}
-	return f.cfg.Guard
-}
-
 // budget returns the retry budget of a service. The caller holds the lock.
 func (f *filter) budget(service string) Budget {
 	b, ok := f.budgets[service]
@@ -147,6 +104,7 @@
 		request:  r,
 		exchange: f.transport.Open(r),
 		ticketID: r.ID,
+		pass:     noPass{},
 		state:    retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline, MaxAttempts: r.MaxAttempts},
 	}
 	defer func() {
@@ -177,7 +135,7 @@
 func (j *job) acquire(ctx context.Context) (fleet.Upstream, error) {
 	if j.moveTarget != nil {
 		u := j.moveTarget
-		j.moveTarget, j.ticketID = nil, u.ticketID
+		j.moveTarget, j.ticketID, j.pass = nil, u.ticketID, u.pass
 		return u.Upstream, nil
 	}
 	if j.state.Relayed {
@@ -185,7 +143,36 @@
 		ctx, cancel = context.WithTimeout(ctx, maxRerunWait)
 		defer cancel()
 	}
-	return queue.Acquire(ctx, j.fleet, j.request, queue.Ticket{ID: j.ticketID, Priority: j.state.Relayed})
+	u, pass, err := j.acquireAdmitted(ctx, queue.Ticket{ID: j.ticketID, Priority: j.state.Relayed})
+	if err == nil {
+		j.pass = pass
+	}
+	return u, err
+}
+
+// acquireAdmitted waits for the admission of an attempt and then for an upstream. If the
+// admission is revoked meanwhile, it starts again.
+func (j *job) acquireAdmitted(ctx context.Context, ticket queue.Ticket) (fleet.Upstream, Pass, error) {
+	for {
+		pass, err := j.guard().Admit(ctx, j.request, j.pass)
+		if err != nil {
+			return fleet.Upstream{}, nil, err
+		}
+		waitCtx, cancel := withRevocation(ctx, pass)
+		u, err := queue.Acquire(waitCtx, j.fleet, j.request, ticket)
+		cancel()
+		revoked := isRevoked(pass)
+		if err == nil && !revoked {
+			return u, pass, nil
+		}
+		if err == nil {
+			j.fleet.Release(ticket.ID, "")
+		}
+		pass.RecordEnd(EndUnsent)
+		if !revoked {
+			return fleet.Upstream{}, nil, err
+		}
+	}
 }
 
 func (j *job) nextAction(event retry.Event) retry.Action {
@@ -205,6 +192,8 @@
 	// ticketID identifies the current attempt at the fleet. It changes only when the
 	// request moves.
 	ticketID string
+	// pass is the admission of the current or latest attempt.
+	pass Pass
 	// moveTarget is the upstream at which the request continues after the running
 	// attempt.
 	moveTarget *reservation
@@ -222,10 +211,10 @@
 	}
 	j.request.TriedUpstreams = append(j.request.TriedUpstreams, u.Report.Upstream)
 	failed := true
-	j.guard().RecordStart(j.ticketID, j.request, u)
+	j.pass.RecordStart(u)
 	end := EndOther
 	defer func() {
-		j.guard().RecordEnd(j.ticketID, end)
+		j.pass.RecordEnd(end)
 		j.release(failed)
 	}()
 	result := j.readResponse(ctx, u, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.state.Attempts, j) })
@@ -239,7 +228,7 @@
 			j.abandon(u, j.state.Attempts)
 			return retry.ActionFinish, result.Err
 		}
-		end = endOf(result)
+		end = j.endOf(ctx, result)
 		action := j.nextAction(result.Event)
 		j.request.RecordDecision(action.String(), result.Event.String(), u.Report.Upstream)
 		switch action {
@@ -263,26 +252,6 @@
 	}
 }
 
-// endOf returns how an attempt with a result ended.
-func endOf(result Result) End {
-	if result.Event == retry.EventComplete {
-		return EndComplete
-	}
-	if result.Refusal == nil {
-		return EndOther
-	}
-	switch problem.Reason(result.Refusal.Reason) {
-	case problem.ReasonUpstreamFailed:
-		return EndBroken
-	case problem.ReasonUpstreamUnreachable:
-		return EndUnreachable
-	case problem.ReasonWrongIncarnation:
-		return EndReplaced
-	default:
-		return EndOther
-	}
-}
-
 // release releases the upstream with the reason of a failed attempt.
 func (j *job) release(failed bool) {
 	reason := problem.Reason("")
@@ -295,7 +264,7 @@
 // readResponse runs a step that reads a response. It cancels the step when the stream is
 // silent for too long, when the entry is cut off, or when the request moves.
 func (j *job) readResponse(ctx context.Context, u fleet.Upstream, step func(context.Context) Result) Result {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := withRevocation(ctx, j.pass)
 	defer cancel()
 	var watcher sync.WaitGroup
 	watcher.Go(func() { j.watchUpstream(ctx, u, cancel) })
@@ -305,7 +274,10 @@
 	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	cancel()
 	watcher.Wait()
-	if j.moveTarget != nil {
+	switch {
+	case isRevoked(j.pass) && result.Event != retry.EventComplete && result.Err == nil:
+		result = Result{Event: retry.EventUnknown, Refusal: &api.Refusal{Reason: string(problem.ReasonPromptQuarantined), Detail: revokedDetail}}
+	case j.moveTarget != nil:
 		result = j.moveResult(result)
 	}
 	if result.Refusal != nil && timedOut {
@@ -373,7 +345,7 @@
 	r.ActualCost++
 	r.RecordPart(time.Now())
 	j.fleet.RecordPart(j.ticketID)
-	j.guard().RecordPart(j.ticketID)
+	j.pass.RecordPart()
 	err := r.Reply.WriteData(part)
 	j.state.RecordProgress(r.Reply.HasStarted())
 	return err
@@ -395,6 +367,10 @@
 	if j.state.Relayed {
 		return j.finalProblem(retry.ActionAbort)
 	}
+	var p *problem.Problem
+	if errors.As(err, &p) && p.Reason == problem.ReasonPromptQuarantined {
+		return p.WithRan(problem.RanUnknown).WithStatus(http.StatusBadGateway)
+	}
 	return j.finalProblem(retry.ActionRefuseUnknown)
 }
 
@@ -424,6 +400,9 @@
 		return problem.New(problem.ReasonDeadlineExceeded, "").WithRan(problem.RanUnknown)
 	}
 	p := problem.New(j.failureReason(), detail)
+	if p.Reason == problem.ReasonPromptQuarantined {
+		return p.WithRan(problem.RanUnknown).WithStatus(http.StatusBadGateway)
+	}
 	if p.Ran == problem.RanNo {
 		p = problem.New(problem.ReasonOutcomeUnknown, detail)
 	}
--- a/pkg/filter/attempt/fuzz_test.go
+++ b/pkg/filter/attempt/fuzz_test.go
@@ -27,6 +27,7 @@
 		j := &job{
 			filter:       &filter{cfg: Config{SilenceTimeout: time.Minute}, fleet: &sequentialAgents{}},
 			request:      request,
+			pass:         noPass{},
 			silenceTimer: time.NewTimer(time.Minute),
 		}
 		defer j.silenceTimer.Stop()
--- a/pkg/filter/attempt/move.go
+++ b/pkg/filter/attempt/move.go
@@ -15,6 +15,7 @@
 type reservation struct {
 	fleet.Upstream
 	ticketID string
+	pass     Pass
 }
 
 // moveSuffix distinguishes the ticket ID of a reserved upstream from that of the running
@@ -29,11 +30,11 @@
 		return false
 	}
 	ticketID := j.ticketID + moveSuffix
-	u, err := queue.Acquire(ctx, j.fleet, j.request, queue.Ticket{ID: ticketID, Priority: true})
+	u, pass, err := j.acquireAdmitted(ctx, queue.Ticket{ID: ticketID, Priority: true})
 	if err != nil {
 		return false
 	}
-	j.moveTarget = &reservation{Upstream: u, ticketID: ticketID}
+	j.moveTarget = &reservation{Upstream: u, ticketID: ticketID, pass: pass}
 	return true
 }
 
@@ -47,6 +48,7 @@
 // releaseMoveTarget releases a reserved upstream that was not used.
 func (j *job) releaseMoveTarget() {
 	if j.moveTarget != nil {
+		j.moveTarget.pass.RecordEnd(EndUnsent)
 		j.fleet.Release(j.moveTarget.ticketID, "")
 		j.moveTarget = nil
 	}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -41,6 +41,8 @@
 	// Directory holds the current table if the platform provides a part of it. If it
 	// is nil, the table is the store's.
 	Directory Directory
+	// Quarantine provides the parts of prompts that are kept from upstreams. It may be nil.
+	Quarantine Quarantine
 }
 
 // Directory holds the current table.
@@ -78,6 +80,8 @@
 	g.PUT("/failure-domains/:name/:mark", a.markFailureDomain)
 	g.PUT("/upstreams/:name/:mark", a.markUpstream)
 	g.GET("/status", a.getStatus)
+	g.GET("/quarantine", a.getQuarantine)
+	g.DELETE("/quarantine/:service/:part", a.releasePart)
 	a.registerAccounts(g)
 }
 
--- a/pkg/peer/entry_client.go
+++ b/pkg/peer/entry_client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
+	"github.com/acaciaglade/acaciaglade/pkg/quarantine"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
@@ -18,8 +19,33 @@
 	PathTableUpdates = PathTable + "/news"
 	PathTablePages   = PathTable + "/pages"
 	PathCeilings     = "/v1/ceilings"
+	PathReports      = "/v1/quarantine/reports"
+	PathTrials       = "/v1/quarantine/trials"
 )
 
+// ReportExchange carries reports of upstreams that ended between two entries.
+type ReportExchange struct {
+	// Reports are merged by the receiver.
+	Reports []quarantine.Report `json:"reports,omitempty"`
+	// Digest is the digest of all reports of the sender. A request with Compare is answered
+	// with the receiver's reports if its digest differs.
+	Compare bool   `json:"compare,omitempty"`
+	Digest  uint64 `json:"digest"`
+}
+
+// TrialRequest asks an entry for the trial of a service, or ends it.
+type TrialRequest struct {
+	Service string `json:"service"`
+	// ID identifies the trial.
+	ID  string `json:"id"`
+	End bool   `json:"end,omitempty"`
+}
+
+// TrialReply is the response to a TrialRequest.
+type TrialReply struct {
+	Granted bool `json:"granted"`
+}
+
 // EntryClient sends requests to other entries.
 type EntryClient struct {
 	client *AgentClient
@@ -45,6 +71,20 @@
 	return grants, err
 }
 
+// ExchangeReports sends reports to an entry and returns its response.
+func (c *EntryClient) ExchangeReports(ctx context.Context, address string, r *ReportExchange) (*ReportExchange, error) {
+	var reply ReportExchange
+	err := c.client.call(ctx, c.client.pooled, address+PathReports, r, &reply)
+	return &reply, err
+}
+
+// RequestTrial requests the trial of a service from an entry, or ends it there.
+func (c *EntryClient) RequestTrial(ctx context.Context, address string, r *TrialRequest) (*TrialReply, error) {
+	var reply TrialReply
+	err := c.client.call(ctx, c.client.pooled, address+PathTrials, r, &reply)
+	return &reply, err
+}
+
 // Page reads a page of the table by its hash.
 func (c *EntryClient) Page(ctx context.Context, address, hash string) (table.Page, error) {
 	var p table.Page
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -81,6 +81,12 @@
 	return p
 }
 
+// WithStatus sets the HTTP status and returns the problem.
+func (p *Problem) WithStatus(status int) *Problem {
+	p.Status = status
+	return p
+}
+
 // CanRetryElsewhere reports whether the refusal is due to the state of this entry only, so
 // that another entry may serve the same request.
 func (p *Problem) CanRetryElsewhere() bool {
--- a/pkg/quarantine/losses.go
+++ b/pkg/quarantine/losses.go
@@ -71,10 +71,17 @@
 	LossRefused LossEvidence = "connection refused"
 	// LossReplaced means that another upstream has the address.
 	LossReplaced LossEvidence = "address has another upstream"
-	// LossUnlisted means that the platform has removed the upstream from its list.
+	// LossRestarted means that the platform lists a later incarnation of the upstream.
+	LossRestarted LossEvidence = "listed as restarted"
+	// LossUnlisted means that the platform has removed the upstream from its list, and that
+	// the upstream has accepted no connection since. It may have ended or be cut off.
 	LossUnlisted LossEvidence = "no longer listed"
 )
 
+// isCrash reports whether the upstream's process has certainly ended, as opposed to having
+// become unreachable.
+func (e LossEvidence) isCrash() bool { return e != LossUnlisted }
+
 // lossConfirmTime is how long after an attempt broke off the loss of its upstream may be
 // confirmed. The platform removes an upstream from its list after a few seconds.
 const lossConfirmTime = 10 * time.Second
@@ -181,12 +188,23 @@
 // SetListed applies the platform's list of upstreams: whether each of them is leaving. It
 // returns the losses that the list confirms. Upstreams that were leaving are no losses.
 func (d *LossDetector) SetListed(leaving map[UpstreamKey]bool, now time.Time) []Loss {
+	incarnations := make(map[string]bool, len(leaving))
+	for key := range leaving {
+		incarnations[key.ID] = true
+	}
 	var losses []Loss
 	for key, s := range d.suspects {
 		if _, ok := leaving[key]; ok {
 			continue
 		}
-		if loss := d.Confirm(key, LossUnlisted, now); loss != nil {
+		var loss *Loss
+		switch {
+		case incarnations[key.ID]:
+			loss = d.Confirm(key, LossRestarted, now)
+		case !s.reachable:
+			loss = d.Confirm(key, LossUnlisted, now)
+		}
+		if loss != nil {
 			losses = append(losses, *loss)
 		}
 		if now.Sub(s.since) > lossConfirmTime {
@@ -211,27 +229,35 @@
 		return nil
 	}
 	s.lost = true
-	loss := &Loss{Evidence: evidence, NoticedAt: s.since, RecentlySent: s.recentlySent}
-	for i := range s.broken {
-		loss.add(&s.broken[i])
-	}
+	attempts := slices.Clone(s.broken)
 	for _, a := range d.attempts {
 		if a.Upstream.UpstreamKey == key {
-			loss.add(a)
+			attempts = append(attempts, *a)
 		}
 	}
+	loss := newLoss(attempts)
+	loss.Evidence, loss.NoticedAt, loss.RecentlySent = evidence, s.since, s.recentlySent
 	slices.SortFunc(loss.Unbegun, func(a, b Attempt) int {
 		return cmp.Or(a.SentAt.Compare(b.SentAt), cmp.Compare(a.ID, b.ID))
 	})
 	return loss
 }
 
-// add adds an attempt that was at the upstream when it ended.
-func (l *Loss) add(a *Attempt) {
-	l.Upstream = a.Upstream
-	if a.HasBegun() {
-		l.Begun++
-		return
+// newLoss returns the loss of an upstream with the attempts that were there.
+func newLoss(attempts []Attempt) *Loss {
+	loss := &Loss{Upstream: attempts[0].Upstream}
+	for i := range attempts {
+		loss.Upstream.Epoch = max(loss.Upstream.Epoch, attempts[i].Upstream.Epoch)
 	}
-	l.Unbegun = append(l.Unbegun, *a)
+	for i := range attempts {
+		switch a := &attempts[i]; {
+		case a.HasBegun():
+			loss.Begun++
+		case a.Upstream.Epoch < loss.Upstream.Epoch:
+			// The group has been formed again since, which ends all attempts.
+		default:
+			loss.Unbegun = append(loss.Unbegun, *a)
+		}
+	}
+	return loss
 }
