Count the time that a request has waited as evidence of a loss

Cause: a new part was nearly always tried once more after the first end, which stops all ranks a second time: in the first seconds many requests have new parts, so a coincidence could not be excluded by that alone. Change: a report has for each candidate the probability that an innocent request had waited so long, by the latest times to the first part. One loss is never conclusive at an entry that can't reach most of the others.

--- a/pkg/crashguard/exchange.go
+++ b/pkg/crashguard/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -101,21 +102,32 @@
 // reports at their next comparison.
 func (g *Guard) sendToAll(ctx context.Context, message *peer.ReportExchange) {
 	addresses := g.otherEntries()
+	var reached atomic.Int64
+	defer func() { g.setIsolated(2*int(reached.Load()) < len(addresses)) }()
 	slots := make(chan struct{}, maxConcurrentSends)
 	var sends sync.WaitGroup
 	for _, address := range addresses {
 		slots <- struct{}{}
 		sends.Go(func() {
 			defer func() { <-slots }()
-			_, err := g.exchange(ctx, "new", address, message)
-			if err != nil {
+			if _, err := g.exchange(ctx, "new", address, message); err != nil {
 				g.log.WithError(err).WithField("entry", address).Info("report not sent; the entry gets it with its next comparison")
+				return
 			}
+			reached.Add(1)
 		})
 	}
 	sends.Wait()
 }
 
+// setIsolated records whether most of the other entries can't be reached.
+func (g *Guard) setIsolated(isolated bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quarantine.SetIsolated(isolated)
+	g.update()
+}
+
 // otherEntries returns the addresses of the other entries, ordered by name.
 func (g *Guard) otherEntries() []string {
 	addresses := g.entryAddresses()
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -249,17 +249,21 @@
 	g := p.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if a := g.detector.RecordPart(p.id); a != nil {
-		g.recordBegun(p)
+	if a := g.detector.RecordPart(p.id, time.Now()); a != nil {
+		g.recordBegun(p, a)
 	}
 }
 
 // recordBegun records that the response of an attempt has begun well. The caller holds the
 // lock.
-func (g *Guard) recordBegun(p *pass) {
+func (g *Guard) recordBegun(p *pass, a *quarantine.Attempt) {
 	p.begun = true
 	delete(g.passes, p.id)
-	g.quarantine.RecordBegun(p.service, p.organisation, p.parts, time.Now())
+	now, firstPartAt := time.Now(), a.FirstPartAt
+	if firstPartAt.IsZero() {
+		firstPartAt = now
+	}
+	g.quarantine.RecordBegun(p.service, p.organisation, p.parts, firstPartAt.Sub(a.SentAt), now)
 	g.update()
 	if p.trial {
 		g.endTrial(p, trialBegun)
@@ -275,7 +279,7 @@
 	delete(g.passes, p.id)
 	a := g.detector.RecordEnd(p.id, end == attempt.EndBroken, time.Now())
 	if a != nil && end == attempt.EndComplete && !p.begun {
-		g.recordBegun(p)
+		g.recordBegun(p, a)
 	}
 	if p.trial && !p.begun {
 		g.endTrial(p, trialOutcome(end))
--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -126,7 +126,7 @@
 		return Standing{}
 	}
 	if s := q.evaluated(key.service)[key.part]; s != nil && s.moments > 0 {
-		if out := newStanding(key, s, organisation, now); out.State != StateNone {
+		if out := q.newStanding(key, s, organisation, now); out.State != StateNone {
 			return out
 		}
 	}
@@ -149,7 +149,7 @@
 }
 
 // newStanding returns the state of a part for an organisation by its evaluated standing.
-func newStanding(key partKey, s *standing, organisation string, now time.Time) Standing {
+func (q *Quarantine) newStanding(key partKey, s *standing, organisation string, now time.Time) Standing {
 	out := describe(key, s.losses, now)
 	out.Organisations, out.tied = s.organisations, s.tied
 	latest := s.losses[len(s.losses)-1]
@@ -173,7 +173,7 @@
 		out.State, out.settling = StateSuspected, true
 		out.Reason = "an upstream has just ended as a request with it was to begin"
 		out.setTrial(settled, now)
-	case s.conclusive:
+	case s.conclusive && !q.isolated:
 		out.State = StateQuarantined
 		out.Reason = "an upstream ended as a request with it was to begin; nothing else there was new, and it has never begun"
 		out.setTrial(latest.noticedAt.Add(shortHold), now)
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -168,7 +168,7 @@
 		if !slices.Contains(losses, r) {
 			return false
 		}
-		chance *= r.chance()
+		chance *= r.chance(part)
 	}
 	return chance <= maxChance
 }
@@ -190,9 +190,9 @@
 }
 
 // chance estimates the probability that the upstream, had it ended for another reason, had
-// a request with an unproven part. It is based on the latest other requests of the entries
-// that reported.
-func (r *record) chance() float64 {
+// a request with an unproven part that had waited as long as the one with a given part. It
+// is based on the latest other requests of the entries that reported.
+func (r *record) chance(part string) float64 {
 	sampled, unknown, unbegun := 0, 0, 0
 	for _, o := range r.Observations {
 		sampled += o.Sampled
@@ -205,6 +205,9 @@
 	}
 	// The additions keep the estimate above 0 for a small sample without unknown parts.
 	share := min(1, (float64(unknown)+0.5)/(float64(sampled)+1))
+	if coincidence := r.Candidates[part].Coincidence; coincidence > 0 {
+		share *= coincidence
+	}
 	none := 1.0
 	for range max(1, unbegun) {
 		none *= 1 - share
--- a/pkg/quarantine/losses.go
+++ b/pkg/quarantine/losses.go
@@ -35,6 +35,8 @@
 	Parts    []string
 	Upstream Upstream
 	SentAt   time.Time
+	// FirstPartAt is when the first part of the response arrived, zero before.
+	FirstPartAt time.Time
 	// received counts the parts of the response that have arrived.
 	received int
 }
@@ -136,11 +138,14 @@
 
 // RecordPart records that a part of an attempt's response has arrived. It returns the
 // attempt if it has begun with this part, and nil otherwise.
-func (d *LossDetector) RecordPart(id string) *Attempt {
+func (d *LossDetector) RecordPart(id string, now time.Time) *Attempt {
 	a, ok := d.attempts[id]
 	if !ok {
 		return nil
 	}
+	if a.received == 0 {
+		a.FirstPartAt = now
+	}
 	a.received++
 	if a.received == minReceived {
 		return a
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -48,12 +48,31 @@
 	due map[UpstreamKey]time.Time
 	// changes counts the changes of reports.
 	changes uint64
+	// isolated is true while most of the other entries can't be reached.
+	isolated bool
 }
 
-// sample holds the parts of the latest requests that were new when they were sent.
+// sample describes the latest requests to a service.
 type sample struct {
-	newParts [][]string
-	next     int
+	// newParts are their parts that were new when they were sent, firstParts the times
+	// from sending those that have begun to the first parts of their responses.
+	newParts   ring[[]string]
+	firstParts ring[time.Duration]
+}
+
+// ring holds the latest sampleSize values.
+type ring[T any] struct {
+	values []T
+	next   int
+}
+
+func (r *ring[T]) add(v T) {
+	if len(r.values) < sampleSize {
+		r.values = append(r.values, v)
+		return
+	}
+	r.values[r.next] = v
+	r.next = (r.next + 1) % sampleSize
 }
 
 // New returns the quarantine of an entry. The seed is for the random delays.
@@ -68,6 +87,15 @@
 // Changes returns the number of changes of the reports so far.
 func (q *Quarantine) Changes() uint64 { return q.changes }
 
+// SetIsolated records whether most of the other entries can't be reached. One loss is never
+// conclusive then, as they may know better.
+func (q *Quarantine) SetIsolated(isolated bool) {
+	if q.isolated != isolated {
+		q.isolated = isolated
+		q.changes++
+	}
+}
+
 // IsProven reports whether responses with all of the parts have begun well at this entry.
 func (q *Quarantine) IsProven(service string, parts []string, now time.Time) bool {
 	return len(q.newParts(service, parts, now)) == 0
@@ -94,17 +122,15 @@
 		s = &sample{}
 		q.samples[service] = s
 	}
-	newParts := q.newParts(service, parts, now)
-	if len(s.newParts) < sampleSize {
-		s.newParts = append(s.newParts, newParts)
-		return
-	}
-	s.newParts[s.next] = newParts
-	s.next = (s.next + 1) % sampleSize
+	s.newParts.add(q.newParts(service, parts, now))
 }
 
-// RecordBegun records that a response to an organisation has begun well.
-func (q *Quarantine) RecordBegun(service, organisation string, parts []string, now time.Time) {
+// RecordBegun records that a response to an organisation has begun well. firstPart is the
+// time from sending the request to the first part of the response.
+func (q *Quarantine) RecordBegun(service, organisation string, parts []string, firstPart time.Duration, now time.Time) {
+	if s := q.samples[service]; s != nil && len(parts) > 0 {
+		s.firstParts.add(firstPart)
+	}
 	for _, part := range parts {
 		key := partKey{service, part}
 		q.begun.record(key, organisation, now)
@@ -165,8 +191,9 @@
 		Observations: map[string]Observation{q.entry: q.observe(loss)},
 	}
 	for _, a := range loss.Unbegun {
+		c := Candidate{Organisations: []string{a.Organisation}, Coincidence: q.coincidence(u.Service, loss.NoticedAt.Sub(a.SentAt))}
 		for _, part := range a.Parts {
-			report.Candidates[part] = report.Candidates[part].merge(Candidate{Organisations: []string{a.Organisation}})
+			report.Candidates[part] = report.Candidates[part].merge(c)
 		}
 	}
 	if len(report.Candidates) == 0 && q.samples[u.Service] == nil {
@@ -181,6 +208,29 @@
 	q.scheduleAfter(r, now, unexplainedDelay+q.randomDelay(unexplainedDelay))
 }
 
+// coincidence estimates the probability that a request which has not begun has waited for at
+// least a time, for a request at any moment before its beginning. It is small for a request
+// that was due to begin.
+func (q *Quarantine) coincidence(service string, waited time.Duration) float64 {
+	s := q.samples[service]
+	if s == nil {
+		return 1
+	}
+	total, beyond := time.Duration(0), time.Duration(0)
+	for _, firstPart := range s.firstParts.values {
+		total += firstPart
+		beyond += max(0, firstPart-waited)
+	}
+	if total == 0 {
+		return 1
+	}
+	return max(minCoincidence, float64(beyond)/float64(total))
+}
+
+// minCoincidence is the smallest estimate of a coincidence by time: the times vary more
+// than the sample shows.
+const minCoincidence = 0.05
+
 // isAfterStall reports whether another rank of the upstream's group had ended some time
 // before. The group has made no pass since, so no request has begun.
 func (q *Quarantine) isAfterStall(u *Upstream, at time.Time) bool {
@@ -209,7 +259,7 @@
 			own[part]++
 		}
 	}
-	for _, parts := range s.newParts {
+	for _, parts := range s.newParts.values {
 		if len(parts) > 0 && own[parts[0]] > 0 {
 			own[parts[0]]--
 			continue
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -40,6 +40,9 @@
 type Candidate struct {
 	// Organisations had requests with the part at the upstream when it ended.
 	Organisations []string `json:"organisations"`
+	// Coincidence is the smallest probability that one of these requests had by chance
+	// waited for so long when the upstream ended. It is 0 if it is not known.
+	Coincidence float64 `json:"coincidence,omitempty"`
 	// Before are organisations for which responses with the part had begun well before.
 	Before []string `json:"before,omitempty"`
 	// Since are organisations for which responses with the part have begun well since.
@@ -91,11 +94,20 @@
 	organisations := limitNames(union(c.Organisations, other.Organisations), nil)
 	return Candidate{
 		Organisations: organisations,
+		Coincidence:   minKnown(c.Coincidence, other.Coincidence),
 		Before:        limitNames(union(c.Before, other.Before), organisations),
 		Since:         limitNames(union(c.Since, other.Since), organisations),
 	}
 }
 
+// minKnown returns the smaller one of two numbers that are not 0.
+func minKnown(a, b float64) float64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 func (o Observation) merge(other Observation) Observation {
 	merged := Observation{
 		Unbegun: max(o.Unbegun, other.Unbegun), Sampled: max(o.Sampled, other.Sampled),
@@ -108,7 +120,7 @@
 
 // equal reports whether two candidates hold the same.
 func (c Candidate) equal(other Candidate) bool {
-	return slices.Equal(c.Organisations, other.Organisations) && slices.Equal(c.Before, other.Before) && slices.Equal(c.Since, other.Since)
+	return slices.Equal(c.Organisations, other.Organisations) && c.Coincidence == other.Coincidence && slices.Equal(c.Before, other.Before) && slices.Equal(c.Since, other.Since)
 }
 
 func (o Observation) equal(other Observation) bool {
