Say with a suspected part how likely a coincidence is

Cause: operators saw that a part was quarantined after one loss, and not how sure that is. Change: the reason names the probability; it is 1 if another part or no part explains a loss.

--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -173,13 +173,13 @@
 		out.State, out.settling = StateSuspected, true
 		out.Reason = "an upstream has just ended as a request with it was to begin"
 		out.setTrial(settled, now)
-	case s.conclusive && !q.isolated:
+	case s.chance <= maxChance && !q.isolated:
 		out.State = StateQuarantined
-		out.Reason = "an upstream ended as a request with it was to begin; nothing else there was new, and it has never begun"
+		out.Reason = fmt.Sprintf("an upstream ended as a request with it was to begin, and it has never begun; nothing else explains that, and a coincidence has the probability %.3f", s.chance)
 		out.setTrial(latest.noticedAt.Add(shortHold), now)
 	default:
 		out.State = StateSuspected
-		out.Reason = "an upstream ended as a request with it was to begin, and it has never begun"
+		out.Reason = fmt.Sprintf("an upstream ended as a request with it was to begin, and it has never begun; a coincidence has the probability %.3f", s.chance)
 		out.setTrial(now, now)
 	}
 	return out
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -45,8 +45,9 @@
 	organisations []string
 	// begunBefore is true if responses with the part had begun well before one of them.
 	begunBefore bool
-	// conclusive is true if a single time is enough.
-	conclusive bool
+	// chance is the probability of a coincidence if the part is the only explanation for the
+	// upstreams that ended at a single time, and 1 otherwise.
+	chance float64
 	// tied is true if another part explains all of the losses as well.
 	tied bool
 }
@@ -75,8 +76,11 @@
 		sortByTime(s.losses)
 		s.moments = countMoments(s.losses)
 		s.explained = countExplained(s.losses, records)
-		s.conclusive = s.moments == 1 && !s.begunBefore && isConclusive(part, s.losses, records)
 		s.tied = hasRival(part, s.losses)
+		s.chance = 1
+		if s.moments == 1 && !s.begunBefore && !s.tied {
+			s.chance = coincidence(part, s.losses, records)
+		}
 	}
 	return standings
 }
@@ -153,24 +157,21 @@
 	return s.moments >= minMoments
 }
 
-// isConclusive reports whether the ends of upstreams at one time show by themselves that a
-// part is the cause: it explains each end at that time, no other part does, and a chance
-// coincidence is unlikely.
-func isConclusive(part string, losses, records []*record) bool {
-	if hasRival(part, losses) {
-		return false
-	}
+// coincidence estimates the probability that upstreams which ended at one time for another
+// reason all had requests with a part by chance. It is 1 if an upstream ended at that time
+// without such a request.
+func coincidence(part string, losses, records []*record) float64 {
 	chance := 1.0
 	for _, r := range records {
 		if !sameMoment(losses[0], r) {
 			continue
 		}
 		if !slices.Contains(losses, r) {
-			return false
+			return 1
 		}
 		chance *= r.chance(part)
 	}
-	return chance <= maxChance
+	return chance
 }
 
 // hasRival reports whether another unproven part is in the reports of all losses.
