--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -53,6 +53,12 @@
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that only
+// the end of the connection ends it. A body that was cut off can then look complete.
+func (x *Exchange) EndsWithConnection() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+}
+
 // Read reads the body. It returns io.EOF at its end, and any other error if the response
 // is incomplete.
 func (x *Exchange) Read(b []byte) (int, error) {
