--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -238,6 +238,9 @@
 		UpstreamKey: quarantine.UpstreamKey{ID: u.Report.Upstream, Incarnation: u.Report.Incarnation},
 		Service:     p.service, Group: u.Group, Epoch: u.Epoch,
 	}
+	if p.trial {
+		g.log.WithFields(logrus.Fields{"request": p.request, "prompt_parts": p.parts, "upstream": u.Report.Upstream}).Info("trial of a part begins")
+	}
 	g.quarantine.RecordSent(p.service, p.parts, now)
 	g.detector.RecordStart(quarantine.Attempt{
 		ID: p.id, RequestID: p.request, Organisation: p.organisation, Parts: p.parts, SentAt: now, Upstream: p.upstream,
--- a/pkg/crashguard/trial.go
+++ b/pkg/crashguard/trial.go
@@ -93,7 +93,6 @@
 		return false
 	}
 	g.passes[p.id] = p
-	g.log.WithField("request", p.request).WithField("detail", verdict.Detail()).Info("trial of a part begins")
 	return true
 }
 
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -16,6 +16,9 @@
 	// momentGap is the time between two ends of upstreams up to which they count as one
 	// time: they may have one cause outside of the requests.
 	momentGap = time.Second
+	// maxPassTime is the time within which the ends of ranks are noticed that were caused in
+	// one pass of their group.
+	maxPassTime = 300 * time.Millisecond
 	// settleTime is the time from the first report of an end to conclusions from it. The
 	// other entries report within it what they know about its candidates.
 	settleTime = 300 * time.Millisecond
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -231,14 +231,14 @@
 // than the sample shows.
 const minCoincidence = 0.05
 
-// isAfterStall reports whether another rank of the upstream's group had ended some time
-// before. The group has made no pass since, so no request has begun.
+// isAfterStall reports whether another rank of the upstream's group had ended in an earlier
+// pass. The group has made no pass since, so no request has begun.
 func (q *Quarantine) isAfterStall(u *Upstream, at time.Time) bool {
 	if u.Group == "" {
 		return false
 	}
 	for _, r := range q.records {
-		if r.Service == u.Service && r.Group == u.Group && r.Epoch == u.Epoch && at.Sub(r.noticedAt) > momentGap {
+		if r.Service == u.Service && r.Group == u.Group && r.Epoch == u.Epoch && at.Sub(r.noticedAt) > maxPassTime {
 			return true
 		}
 	}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -195,7 +195,7 @@
 		f := newFixture(t, "e")
 		for range 3 {
 			f.loseIn(group, 1, request("o", "part"), request("o", "other"))
-			f.wait(100 * time.Millisecond)
+			f.wait(maxPassTime / 3)
 		}
 		f.wait(settleTime)
 		f.expect(ActionTrial, "o", "part")
@@ -207,12 +207,25 @@
 func TestLossInStalledGroupIsNoEvidence(t *testing.T) {
 	f := newFixture(t, "e")
 	f.loseIn("g", 1, request("o", "first"))
-	f.wait(momentGap + time.Millisecond)
+	f.wait(maxPassTime + time.Millisecond)
 	f.loseIn("g", 1, request("o", "second"))
 	f.wait(settleTime)
 	f.expect(ActionPass, "o", "second")
 }
 
+// TestLossInStalledGroupExcusesNothing covers a rank that ends for another reason while its
+// group is stopped because of a deadly part: that doesn't make the first loss a coincidence.
+func TestLossInStalledGroupExcusesNothing(t *testing.T) {
+	f := newFixture(t, "e")
+	f.beginOften()
+	f.loseIn("g", 1, request("o", "dead"))
+	f.wait(settleTime)
+	f.expect(ActionRefuse, "o", "dead")
+	f.wait(settleTime)
+	f.loseIn("g", 1, request("o", "known"))
+	f.expect(ActionRefuse, "o", "dead")
+}
+
 // TestSoundPartBesideDeadlyOne checks that neither the first part of deadly prompts nor
 // parts of other requests at the upstreams are shut out.
 func TestSoundPartBesideDeadlyOne(t *testing.T) {
