Let parts of prompts crash ranks in the soak

Cause: the soak's faults had none that comes with a request. Change: a fault adds a part that ends the rank which begins a stream with it, for twice as long as other faults last. The checker counts the epochs that end by each part; more than five, from which on the platform allows no more requests with it, are a violation, which TestCheckerDetectsViolations causes on purpose.

--- a/lab/soak/checker_test.go
+++ b/lab/soak/checker_test.go
@@ -56,6 +56,13 @@
 			c.RecordRequest(&request{id: "a", path: pathStatus, organisation: "north", key: "k1", sentAt: now.Add(configLimit + time.Millisecond)})
 			c.RecordRun(&receivedRequest{id: "a", path: pathStatus, service: plainServices[0], upstream: "u", organisation: "north"}, now)
 		}},
+		{"a part crashes ranks again and again", func(c *checker) {
+			part := c.deadly.add()
+			for epoch := range uint64(maxCrashesUnderFaults + 1) {
+				c.deadly.find("1:2,"+part+":3,4:5", epoch)
+			}
+			c.checkCrashes()
+		}},
 		{"no recovery", func(c *checker) {
 			c.RecordRequest(&request{id: "a", sentAt: now})
 			c.CheckRecovery(now, now.Add(time.Second))
--- a/lab/soak/command.go
+++ b/lab/soak/command.go
@@ -88,7 +88,7 @@
 		fmt.Printf("seed %d: run failed: %v\n", seed, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d violations, %v, %d store calls, %d passes, %d epochs\n", seed, len(result.Violations), result.Counts, result.StoreCalls, result.Passes, result.Epochs)
+	fmt.Printf("seed %d: %d violations, %v, %d store calls, %d passes, %d epochs, crashes by part %v\n", seed, len(result.Violations), result.Counts, result.StoreCalls, result.Passes, result.Epochs, result.Crashes)
 	for _, text := range result.Violations {
 		fmt.Printf("seed %d: %s\n", seed, text)
 	}
--- a/lab/soak/deadly.go
+++ b/lab/soak/deadly.go
@@ -17,13 +17,14 @@
 	mu sync.Mutex
 	// active are the parts that crash ranks now.
 	active []string
-	// crashes counts the crashes by part.
-	crashes map[string]int
+	// crashes holds the epochs of the group that ended by each part. Ranks that crash in one
+	// pass end one epoch.
+	crashes map[string]map[uint64]bool
 	// created makes each part unique.
 	created int
 }
 
-func newDeadlyParts() *deadlyParts { return &deadlyParts{crashes: make(map[string]int)} }
+func newDeadlyParts() *deadlyParts { return &deadlyParts{crashes: make(map[string]map[uint64]bool)} }
 
 // add adds a part that crashes ranks from now on, and returns it.
 func (p *deadlyParts) add() string {
@@ -35,6 +36,13 @@
 	return part
 }
 
+// remove makes a part harmless.
+func (p *deadlyParts) remove(part string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active = slices.DeleteFunc(p.active, func(active string) bool { return active == part })
+}
+
 // newest returns the part that was added last and still crashes ranks, or "".
 func (p *deadlyParts) newest() string {
 	p.mu.Lock()
@@ -45,36 +53,52 @@
 	return p.active[len(p.active)-1]
 }
 
-// find returns the part of a prompt that crashes ranks, or "".
-func (p *deadlyParts) find(prompt string) string {
+// find returns the part of a prompt that crashes ranks, or "". It records that the epoch ends
+// by it.
+func (p *deadlyParts) find(prompt string, epoch uint64) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for entry := range strings.SplitSeq(prompt, ",") {
 		if id, _, _ := strings.Cut(entry, ":"); slices.Contains(p.active, id) {
-			p.crashes[id]++
+			if p.crashes[id] == nil {
+				p.crashes[id] = make(map[uint64]bool)
+			}
+			p.crashes[id][epoch] = true
 			return id
 		}
 	}
 	return ""
 }
 
-// crashCounts returns the number of crashes by part.
+// crashCounts returns how often each part has ended an epoch.
 func (p *deadlyParts) crashCounts() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	counts := make(map[string]int, len(p.crashes))
-	for part, n := range p.crashes {
-		counts[part] = n
+	for part, epochs := range p.crashes {
+		counts[part] = len(epochs)
 	}
 	return counts
 }
 
+// maxCrashesUnderFaults is how often a part may end an epoch while processes and links fail.
+// From the fifth crash on the platform forbids further requests with the part.
+const maxCrashesUnderFaults = 5
+
+// checkCrashes records a violation for each part that has crashed ranks too often.
+func (c *checker) checkCrashes() {
+	for part, n := range c.deadly.crashCounts() {
+		if n > maxCrashesUnderFaults {
+			c.RecordViolation("%s crashed ranks in %d epochs, want at most %d", part, n, maxCrashesUnderFaults)
+		}
+	}
+}
+
 // crashOnRequest crashes the upstream and starts it again after restartTime.
-func (u *upstream) crashOnRequest(part string) {
+func (u *upstream) crashOnRequest() {
 	if !u.isAlive() {
 		return
 	}
-	u.checker.CountOutcome("crash by " + part)
 	u.crash()
 	time.AfterFunc(restartTime, func() {
 		if err := u.start(); err != nil {
--- a/lab/soak/doc.go
+++ b/lab/soak/doc.go
@@ -17,5 +17,6 @@
 //   - all ranks of a group use the same expert map in a forward pass;
 //   - work runs where the current configuration routes it, and no entry goes back to an
 //     older configuration;
+//   - a part of prompts that crashes ranks does so only a few times;
 //   - callers are served again after the faults.
 package soak
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -148,6 +148,15 @@
 			}
 		}
 	}},
+	{"deadly part", func(d *deployment, _ *rand.Rand, duration time.Duration) func() {
+		part := d.checker.deadly.add()
+		return func() {
+			// A rank that has crashed is back after about a second, so the fault lasts longer
+			// than others.
+			time.Sleep(duration)
+			d.checker.deadly.remove(part)
+		}
+	}},
 	{"upstream drains", func(d *deployment, r *rand.Rand, _ time.Duration) func() {
 		u := d.upstreams[d.size.Ranks+r.IntN(d.size.PlainUpstreams)]
 		if !u.isAlive() {
--- a/lab/soak/group.go
+++ b/lab/soak/group.go
@@ -104,6 +104,12 @@
 	return m
 }
 
+func (g *group) currentEpoch() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.epoch
+}
+
 // join adds a rank that has started. The group is formed once all ranks are alive.
 func (g *group) join(u *upstream) {
 	g.mu.Lock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -39,6 +39,8 @@
 	// Passes is the number of forward passes of the group, Epochs how often the group
 	// was formed.
 	Passes, Epochs uint64
+	// Crashes is how often each deadly part has ended an epoch.
+	Crashes map[string]int
 }
 
 // warmUpTime is the time before the first fault, readyTimeout the time in which all
@@ -80,6 +82,7 @@
 	// Delayed orders and writes may still be carried out.
 	time.Sleep(time.Second)
 	d.checker.CheckRecovery(from, until)
+	d.checker.checkCrashes()
 	return d.result(cfg.Seed), nil
 }
 
@@ -97,7 +100,7 @@
 	defer d.checker.mu.Unlock()
 	return &Result{
 		Seed: seed, Violations: slices.Clone(d.checker.violations), Counts: d.checker.counts, StoreCalls: d.store.Calls(),
-		Passes: d.group.step, Epochs: d.group.epoch,
+		Passes: d.group.step, Epochs: d.group.epoch, Crashes: d.checker.deadly.crashCounts(),
 	}
 }
 
--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -307,8 +307,8 @@
 		if !started {
 			started = true
 			u.recordRun(r, attempt)
-			if part := u.checker.deadly.find(r.Header.Get("X-Prompt-Prefix")); part != "" {
-				u.crashOnRequest(part)
+			if u.checker.deadly.find(r.Header.Get("X-Prompt-Prefix"), u.group.currentEpoch()) != "" {
+				u.crashOnRequest()
 				panic(http.ErrAbortHandler)
 			}
 			w.Header().Set("X-Replica-Seal", signature(attempt))
