Write reports of quarantined parts at once, and remember unreachable entries

Cause: a report reached the store up to 0.8 s after a quarantine, by a look each 0.3 s; until then a restart of all entries forgot it. A trial asked an entry that is gone each time anew, 150 ms long. For another organisation the time to its trial grew with the attacker's losses. The digest of the reports is kept until they change. Measured: tests of pkg/quarantine and pkg/crashguard pass with the race detector.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -67,8 +67,8 @@
 	cfg     Config
 	metrics *metrics
 	log     *logrus.Entry
-	// wake makes Run look for reports to send.
-	wake chan struct{}
+	// wake makes Run look for reports to send, storeWake for reports to write to the store.
+	wake, storeWake chan struct{}
 	// synced is closed once the reports in the store are known.
 	synced     chan struct{}
 	syncedOnce sync.Once
@@ -84,6 +84,8 @@
 	lastPass uint64
 	// probes has a channel for each upstream that is being probed. It is closed at the end.
 	probes map[quarantine.UpstreamKey]chan struct{}
+	// unreachable are the entries that could not be asked for a trial, by the time of that.
+	unreachable map[string]time.Time
 	// changes is the value of Quarantine.Changes at the latest update, and changed is
 	// closed, and replaced, at each.
 	changes uint64
@@ -95,10 +97,10 @@
 // New returns a guard.
 func New(cfg Config) *Guard {
 	return &Guard{
-		cfg: cfg, metrics: newMetrics(cfg.Registry), log: logging.For("crashguard"), wake: make(chan struct{}, 1), synced: make(chan struct{}),
+		cfg: cfg, metrics: newMetrics(cfg.Registry), log: logging.For("crashguard"), wake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), synced: make(chan struct{}),
 		stored: newStoredReports(), detector: quarantine.NewLossDetector(), quarantine: quarantine.New(cfg.Entry, cfg.Seed),
 		trials: quarantine.NewTrials(), passes: make(map[string]*pass), probes: make(map[quarantine.UpstreamKey]chan struct{}),
-		changed: make(chan struct{}), standings: make(map[standingKey]quarantine.Standing),
+		unreachable: make(map[string]time.Time), changed: make(chan struct{}), standings: make(map[standingKey]quarantine.Standing),
 	}
 }
 
--- a/pkg/crashguard/observe.go
+++ b/pkg/crashguard/observe.go
@@ -77,6 +77,7 @@
 // logStandings logs the standings that have changed since the latest call, and counts them.
 // The caller holds the lock.
 func (g *Guard) logStandings(now time.Time) {
+	changed := false
 	current := make(map[standingKey]quarantine.Standing)
 	counts := map[quarantine.State]int{quarantine.StateSuspected: 0, quarantine.StateQuarantined: 0}
 	for _, s := range g.quarantine.Standings(now) {
@@ -87,6 +88,7 @@
 		if old.State == s.State && len(old.Upstreams) == len(s.Upstreams) {
 			continue
 		}
+		changed = true
 		g.log.WithFields(logrus.Fields{
 			"service": s.Service, "prompt_part": s.Part, "organisation": s.Organisation, "upstreams": s.Upstreams, "organisations": s.Organisations,
 			"reason": s.Reason, "trial_ms": s.TrialMillis,
@@ -94,6 +96,7 @@
 	}
 	for key, s := range g.standings {
 		if _, ok := current[key]; !ok {
+			changed = true
 			g.log.WithFields(logrus.Fields{
 				"service": s.Service, "prompt_part": s.Part, "organisation": s.Organisation, "was": s.State,
 			}).Info("part of prompts released")
@@ -103,4 +106,7 @@
 		g.metrics.parts.WithLabelValues(string(state)).Set(float64(n))
 	}
 	g.standings = current
+	if changed {
+		g.wakeStore()
+	}
 }
--- a/pkg/crashguard/store.go
+++ b/pkg/crashguard/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,11 +22,11 @@
 
 // Times of the store.
 const (
-	// writeInterval is the time between two looks for reports to write.
-	writeInterval = 300 * time.Millisecond
-	// maxWriteDelay is the longest random delay before a write, so that one entry writes
-	// and the others see it.
-	maxWriteDelay   = 500 * time.Millisecond
+	// writeInterval is the longest time between two looks for reports to write or delete.
+	writeInterval = 10 * time.Second
+	// maxWriteDelay is the longest random delay before a write by an entry that had no
+	// request at the upstream that ended. Usually one that had has written by then.
+	maxWriteDelay   = 2 * time.Second
 	minWriteBackoff = 200 * time.Millisecond
 	maxWriteBackoff = 5 * time.Second
 )
@@ -106,6 +107,7 @@
 		return
 	case objects.Deleted:
 		g.stored.remove(name)
+		g.wakeStore()
 		return
 	}
 	var s storedReport
@@ -116,6 +118,15 @@
 	s.AgeMillis = max(0, time.Now().UnixMilli()-s.LostAtUnixMilli)
 	g.stored.set(name, storedObject{version: e.Object.Metadata.ResourceVersion, report: s.Report})
 	g.merge([]quarantine.Report{s.Report})
+	g.wakeStore()
+}
+
+// wakeStore makes writeStore look for reports to write.
+func (g *Guard) wakeStore() {
+	select {
+	case g.storeWake <- struct{}{}:
+	default:
+	}
 }
 
 // writeStore writes the reports because of which parts are quarantined, and deletes those
@@ -124,20 +135,37 @@
 	random := rand.New(rand.NewPCG(g.cfg.Seed, 2))
 	backoff := pause.NewBackoff(minWriteBackoff, maxWriteBackoff)
 	for ctx.Err() == nil {
-		pause.Sleep(ctx, writeInterval)
-		if len(g.pendingWrites()) == 0 {
+		writes := g.pendingWrites()
+		if len(writes) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-g.storeWake:
+			case <-time.After(writeInterval):
+			}
 			continue
 		}
-		pause.Sleep(ctx, time.Duration(random.Int64N(int64(maxWriteDelay))))
-		for _, w := range g.pendingWrites() {
-			if err := g.write(ctx, &w); err != nil && !errors.Is(err, objects.ErrConflict) && !errors.Is(err, objects.ErrExists) {
-				g.log.WithError(err).WithField("upstream", w.report.Upstream).Warn("report not written to the store; retrying")
-				pause.Sleep(ctx, backoff.NextBackOff())
-				break
-			}
-			backoff.Reset()
+		if !slices.ContainsFunc(writes, func(w pendingWrite) bool { return w.own }) {
+			pause.Sleep(ctx, time.Duration(random.Int64N(int64(maxWriteDelay))))
+			writes = g.pendingWrites()
+		}
+		if err := g.writeAll(ctx, writes); err != nil {
+			wait := backoff.NextBackOff()
+			g.log.WithError(err).WithField("again_ms", wait.Milliseconds()).Info("report not written to the store; retrying")
+			pause.Sleep(ctx, wait)
+			continue
+		}
+		backoff.Reset()
+	}
+}
+
+// writeAll makes changes of the store until one fails.
+func (g *Guard) writeAll(ctx context.Context, writes []pendingWrite) error {
+	for i := range writes {
+		if err := g.write(ctx, &writes[i]); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // pendingWrite is a change of one object that is due.
@@ -146,6 +174,8 @@
 	report  quarantine.Report
 	version string
 	remove  bool
+	// own is true if this entry had requests at the upstream that had not begun.
+	own bool
 }
 
 // pendingWrites returns the changes of the store that are due.
@@ -158,7 +188,7 @@
 	for _, report := range g.quarantine.Supporting(now) {
 		name := objectName(&report)
 		if o, ok := stored[name]; !ok || g.quarantine.HasMore(&o.report) {
-			writes = append(writes, pendingWrite{name: name, report: report, version: o.version})
+			writes = append(writes, pendingWrite{name: name, report: report, version: o.version, own: report.Observations[g.cfg.Entry].Unbegun > 0})
 		}
 	}
 	for name, o := range stored {
--- a/pkg/crashguard/trial.go
+++ b/pkg/crashguard/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
@@ -17,6 +18,8 @@
 	trialCallTimeout = 150 * time.Millisecond
 	// maxTrialCalls is the number of entries that are called, one after the other.
 	maxTrialCalls = 3
+	// unreachableTime is how long an entry that could not be called is not asked again.
+	unreachableTime = 10 * time.Second
 )
 
 // Results of trials, as values of metric labels.
@@ -38,10 +41,7 @@
 // entry decides alone.
 func (g *Guard) beginTrial(ctx context.Context, p *pass) bool {
 	addresses := g.entryAddresses()
-	names := make([]string, 0, len(addresses))
-	for name := range addresses {
-		names = append(names, name)
-	}
+	names := g.reachableNames(addresses)
 	call := peer.TrialRequest{Service: p.service, ID: g.cfg.Entry + "/" + p.id}
 	for range maxTrialCalls {
 		home := ceiling.HomeEntry(p.service, names)
@@ -55,7 +55,9 @@
 			p.trialAddress = addresses[home]
 			return reply.Granted
 		}
-		names = without(names, home)
+		g.log.WithError(err).WithField("entry", home).Info("trial not asked for; trying another entry")
+		g.recordUnreachable(home)
+		names = g.reachableNames(addresses)
 	}
 	p.trialAddress = ""
 	return g.handleTrial(&call)
@@ -72,14 +74,25 @@
 	return addresses
 }
 
-func without(names []string, name string) []string {
-	var out []string
-	for _, n := range names {
-		if n != name {
-			out = append(out, n)
+// reachableNames returns the names of the entries that could be called lately, or were not.
+func (g *Guard) reachableNames(addresses map[string]string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(g.unreachable, func(_ string, at time.Time) bool { return now.Sub(at) > unreachableTime })
+	var names []string
+	for name := range addresses {
+		if _, ok := g.unreachable[name]; !ok {
+			names = append(names, name)
 		}
 	}
-	return out
+	return names
+}
+
+func (g *Guard) recordUnreachable(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unreachable[name] = time.Now()
 }
 
 // startTrial makes the pass a trial if that is still due. Otherwise it ends the trial.
--- a/pkg/quarantine/check.go
+++ b/pkg/quarantine/check.go
@@ -144,7 +144,7 @@
 		return out
 	}
 	out.State = StateQuarantined
-	out.setTrial(losses[len(losses)-1].noticedAt.Add(holdTime(shortHold, moments-1)), now)
+	out.setTrial(losses[len(losses)-1].noticedAt.Add(growingHold(shortHold, moments-1)), now)
 	return out
 }
 
@@ -156,13 +156,9 @@
 	settled := latest.learnedAt.Add(settleTime)
 	switch {
 	case s.isQuarantined():
-		base := longHold
-		if s.begunBefore || len(s.organisations) == 1 && !slices.Contains(s.organisations, organisation) {
-			base = shortHold
-		}
 		out.State = StateQuarantined
 		out.Reason = fmt.Sprintf("%d times upstreams ended as requests with it were to begin, and none has begun since", s.moments)
-		out.setTrial(latest.noticedAt.Add(holdTime(base, s.moments)), now)
+		out.setTrial(latest.noticedAt.Add(s.holdTime(organisation)), now)
 	case s.begunBefore && s.moments < minMoments:
 		return Standing{}
 	case s.begunBefore:
@@ -185,6 +181,20 @@
 	return out
 }
 
+// holdTime returns how long a quarantined part is kept from upstreams after the latest loss,
+// for an organisation. An organisation that had no part in the losses, which were all by
+// requests of one other organisation, may soon show that the part is sound.
+func (s *standing) holdTime(organisation string) time.Duration {
+	switch {
+	case len(s.organisations) == 1 && !slices.Contains(s.organisations, organisation):
+		return shortHold
+	case s.begunBefore:
+		return growingHold(shortHold, s.moments)
+	default:
+		return growingHold(longHold, s.moments)
+	}
+}
+
 // describe returns a standing with the losses.
 func describe(key partKey, losses []*record, now time.Time) Standing {
 	s := Standing{Service: key.service, Part: key.part, AgeMillis: now.Sub(losses[len(losses)-1].noticedAt).Milliseconds()}
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -245,9 +245,9 @@
 	return false
 }
 
-// holdTime returns how long a part is kept from upstreams after the latest of the losses,
-// which happened at a number of times.
-func holdTime(base time.Duration, moments int) time.Duration {
+// growingHold returns how long a part is kept from upstreams after the latest of the losses,
+// which happened at a number of times. base applies to minMoments.
+func growingHold(base time.Duration, moments int) time.Duration {
 	hold := base
 	for i := minMoments; i < moments && hold < maxHold; i++ {
 		hold *= holdFactor
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -48,6 +48,9 @@
 	due map[UpstreamKey]time.Time
 	// changes counts the changes of reports.
 	changes uint64
+	// digest is the digest at digestChanges changes.
+	digest        uint64
+	digestChanges uint64
 	// isolated is true while most of the other entries can't be reached.
 	isolated bool
 }
@@ -491,6 +494,9 @@
 // Digest returns a hash of all reports without their ages. Entries with the same reports
 // have the same digest.
 func (q *Quarantine) Digest() uint64 {
+	if q.digest != 0 && q.digestChanges == q.changes {
+		return q.digest
+	}
 	reports := q.Reports(time.Time{})
 	for i := range reports {
 		reports[i].AgeMillis = 0
@@ -500,7 +506,8 @@
 		// Maps with string keys, strings and numbers can always be encoded.
 		panic(err)
 	}
-	return xxhash.Sum64(raw)
+	q.digest, q.digestChanges = xxhash.Sum64(raw), q.changes
+	return q.digest
 }
 
 // Standings returns the parts that are not in StateNone, ordered by service and part.
