Keep messages that crash engines away from them, with agents too

Callers saw: where entries use agents, a request whose system message crashes engines ended every engine in turn: 14 crashes by 8 requests to three engines. Here no part of a prompt has a name, and an entry can't see whether an engine has ended: its agent stays. Change: an agent whose call broke off finds out whether the engine has ended, says so in the response, and is not ready from then on; its reports name the engine's incarnation. Each message but the last is a part, by its hash. The engine's simulator ends on a given message. An entry waits at most 3 s after its start for the reports in the store.

--- a/lab/deploy/restart.go
+++ b/lab/deploy/restart.go
@@ -35,3 +35,13 @@
 	log.Close()
 	close(done)
 }
+
+// HasEnded reports whether a process has ended.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -7,7 +7,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +58,8 @@
 	steps         int
 	coldUntilStep int
 	lastStepTime  time.Duration
+	// deadlyText is the text of a message that crashes the engine, empty for none.
+	deadlyText string
 	// wake wakes an idle engine.
 	wake chan struct{}
 }
@@ -74,6 +78,8 @@
 	// of the group has failed.
 	cancelled bool
 	aborted   bool
+	// deadly is true if the first token crashes the engine.
+	deadly bool
 }
 
 // New returns a cold engine. Run must be called for it to step.
@@ -91,6 +97,7 @@
 func (s *Server) Register(e *echo.Echo) {
 	e.GET("/v1/load", s.handleLoad)
 	e.POST("/v1/chat/completions", s.handleCompletion)
+	e.PUT(PathDeadly, s.setDeadly)
 	e.POST("/lab/cold", func(c echo.Context) error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -99,6 +106,40 @@
 	})
 }
 
+// PathDeadly sets the text of a message that crashes the engine: its process ends when it
+// generates the first token of a response to a prompt with such a message. An empty text
+// stops that.
+const PathDeadly = "/lab/deadly"
+
+// crashStatus is the exit status of an engine that a prompt has crashed.
+const crashStatus = 3
+
+func (s *Server) setDeadly(c echo.Context) error {
+	raw, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadlyText = string(raw)
+	return c.NoContent(http.StatusOK)
+}
+
+// isDeadly reports whether a prompt has a message that crashes the engine.
+func (s *Server) isDeadly(r *request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deadlyText == "" {
+		return false
+	}
+	for _, m := range r.Messages {
+		if m.Content == s.deadlyText {
+			return true
+		}
+	}
+	return false
+}
+
 // Run runs steps and does not return.
 func (s *Server) Run() {
 	for {
@@ -179,6 +220,9 @@
 	s.steps++
 	s.lastStepTime = took
 	for q := range s.running {
+		if q.deadly {
+			os.Exit(crashStatus)
+		}
 		q.position++
 		q.tokens <- q.position
 		if q.position == q.length || q.cancelled {
@@ -260,6 +304,7 @@
 		q.length = defaultTokens
 	}
 	q.priority = c.Request().Header.Get(headerPriority) != ""
+	q.deadly = s.isDeadly(&body)
 	if from := c.Request().Header.Get(headerResumeFrom); from != "" {
 		offset, err := strconv.Atoi(from)
 		if err != nil || offset < 0 || offset >= q.length {
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -69,6 +69,8 @@
 	draining bool
 	// ready is false while the upstream is unreachable.
 	ready bool
+	// upstreamIncarnation is the latest incarnation that the upstream has reported.
+	upstreamIncarnation string
 	// sequence numbers the reports. stepTime and skew are those of the last sample.
 	sequence uint64
 	stepTime time.Duration
@@ -246,6 +248,7 @@
 // Observe adapts the limit to a sample of the upstream, which is ready from now on.
 func (g *Gate) Observe(s warmup.Sample, skew float64, now time.Time) {
 	g.ready = true
+	g.upstreamIncarnation = s.Incarnation
 	g.updateMarksSettled(now)
 	g.stepTime = s.Step
 	g.skew = skew
@@ -269,27 +272,31 @@
 // SetUnreachable closes the gate until the next call of Observe.
 func (g *Gate) SetUnreachable() { g.ready = false }
 
+// UpstreamIncarnation returns the latest incarnation that the upstream has reported, or "".
+func (g *Gate) UpstreamIncarnation() string { return g.upstreamIncarnation }
+
 // Report returns the next report to entries.
 func (g *Gate) Report() api.Report {
 	g.sequence++
 	_, closed := g.closedReason()
 	marks := g.marks.Marks()
 	return api.Report{
-		Upstream:      g.cfg.Upstream,
-		FailureDomain: g.cfg.FailureDomain,
-		Service:       g.cfg.Service,
-		Incarnation:   g.cfg.Incarnation,
-		Sequence:      g.sequence,
-		Limit:         g.limiter.Limit(),
-		Reserved:      g.reserved(),
-		Running:       g.running,
-		Queued:        len(g.queue),
-		Draining:      g.draining,
-		Ready:         !closed,
-		VirtualTime:   g.virtualTime,
-		MarksVersion:  marks.Version,
-		Provisional:   marks.Provisional,
-		StepMillis:    float64(g.stepTime) / float64(time.Millisecond),
-		Skew:          g.skew,
+		Upstream:            g.cfg.Upstream,
+		FailureDomain:       g.cfg.FailureDomain,
+		Service:             g.cfg.Service,
+		Incarnation:         g.cfg.Incarnation,
+		UpstreamIncarnation: g.upstreamIncarnation,
+		Sequence:            g.sequence,
+		Limit:               g.limiter.Limit(),
+		Reserved:            g.reserved(),
+		Running:             g.running,
+		Queued:              len(g.queue),
+		Draining:            g.draining,
+		Ready:               !closed,
+		VirtualTime:         g.virtualTime,
+		MarksVersion:        marks.Version,
+		Provisional:         marks.Provisional,
+		StepMillis:          float64(g.stepTime) / float64(time.Millisecond),
+		Skew:                g.skew,
 	}
 }
--- a/pkg/agent/execute.go
+++ b/pkg/agent/execute.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,10 +68,32 @@
 	default:
 		a.recordResult(req, admission.ResultUnknown)
 		a.settleClaim(handle, a.claims.MarkOutcomeUnknown)
-		r.refuse(api.OutcomeUnknown, problem.ReasonUpstreamFailed, err.Error())
+		ended := ctx.Err() == nil && a.checkUpstreamEnded(ctx)
+		r.end(api.Frame{Outcome: api.OutcomeUnknown, Refusal: &api.Refusal{
+			Reason: string(problem.ReasonUpstreamFailed), Detail: err.Error(), UpstreamEnded: ended,
+		}})
 	}
 }
 
+// checkUpstreamEnded finds out whether the upstream has ended, after a call of it broke off.
+// If so, the agent reports at once that it is not ready, so that no entry sends another
+// attempt here.
+func (a *Agent) checkUpstreamEnded(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.SampleInterval)
+	defer cancel()
+	load, err := a.upstream.readLoad(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last := a.gate.UpstreamIncarnation()
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if !refused && (err != nil || last == "" || load.Incarnation == last) {
+		return false
+	}
+	a.gate.SetUnreachable()
+	a.processQueue()
+	return true
+}
+
 // endNotRun ends an attempt that was dispatched but that the upstream did not start.
 func (a *Agent) endNotRun(req *api.AttemptRequest, r *run, handle *claim.Handle, reason problem.Reason) {
 	a.recordResult(req, admission.ResultNotRun)
--- a/pkg/api/attempt.go
+++ b/pkg/api/attempt.go
@@ -132,6 +132,8 @@
 	RetryAfterMillis int64  `json:"retry_after_millis,omitempty"`
 	// Permanent is true if any other upstream would refuse the attempt too.
 	Permanent bool `json:"permanent,omitempty"`
+	// UpstreamEnded is true if the upstream's process has ended since it got the attempt.
+	UpstreamEnded bool `json:"upstream_ended,omitempty"`
 }
 
 // WithdrawRequest queries an agent for the outcome of a request. If the request has not
--- a/pkg/api/report.go
+++ b/pkg/api/report.go
@@ -10,6 +10,9 @@
 	Service string `json:"service"`
 	// Incarnation is new at each start of the agent.
 	Incarnation string `json:"incarnation"`
+	// UpstreamIncarnation is new at each start of the upstream, empty until the upstream has
+	// reported it.
+	UpstreamIncarnation string `json:"upstream_incarnation,omitempty"`
 	// Sequence increases with each report of an incarnation.
 	Sequence uint64 `json:"sequence"`
 	// Limit is the number of requests that the upstream may currently run at once.
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/acaciaglade/acaciaglade/pkg/crashguard"
 	"github.com/acaciaglade/acaciaglade/pkg/entry"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
@@ -47,7 +48,8 @@
 
 func newEntry(s *settings.Entry) *entry.Entry {
 	agents := peer.NewAgentClient(s.PeerToken)
-	store := tablestore.New(objects.NewClient(s.ObjectAPI, s.ObjectTimeout), tablestore.Config{Entry: s.Name, WatchTimeout: tablestore.WatchTimeout})
+	objectAPI := objects.NewClient(s.ObjectAPI, s.ObjectTimeout)
+	store := tablestore.New(objectAPI, tablestore.Config{Entry: s.Name, WatchTimeout: tablestore.WatchTimeout})
 	view := fleet.New(fleet.Config{
 		Entry:                s.Name,
 		QueuePerOrganisation: s.QueuePerOrganisation,
@@ -65,6 +67,11 @@
 			MaxWaitingTotal:   s.MaxWaitingTotal,
 		},
 	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
+	registry := prometheus.NewRegistry()
+	guard := crashguard.New(crashguard.Config{
+		Entry: s.Name, Seed: maphash.Comparable(maphash.MakeSeed(), s.Name),
+		Hosts: view.Hosts, Peers: peer.NewEntryClient(s.PeerToken), Store: objectAPI, Registry: registry,
+	})
 	return entry.New(entry.Config{
 		Name:          s.Name,
 		PeerToken:     s.PeerToken,
@@ -85,7 +92,8 @@
 		Fleet:       view,
 		Transport:   attempt.NewAgentTransport(agents),
 		Agents:      agents,
-		Registry:    prometheus.NewRegistry(),
+		Guard:       guard,
+		Registry:    registry,
 	})
 }
 
--- a/pkg/crashguard/exchange.go
+++ b/pkg/crashguard/exchange.go
@@ -30,6 +30,9 @@
 	syncTries = 3
 	// maxExchangeBytes limits a message: the reports of some hundred losses.
 	maxExchangeBytes = 4 << 20
+	// maxSyncTime is how long after its start an entry waits for the reports in the store.
+	// After that it relies on the other entries.
+	maxSyncTime = 3 * time.Second
 	// sweepInterval is the time between two sweeps for expired reports.
 	sweepInterval = time.Minute
 	// settleCheckInterval is the time between two looks for standings that have changed
@@ -37,14 +40,19 @@
 	settleCheckInterval = 100 * time.Millisecond
 )
 
+// recordSynced records that the reports in the store are known, or that the entry does not
+// wait for them any longer.
+func (g *Guard) recordSynced() { g.syncedOnce.Do(func() { close(g.synced) }) }
+
 // Run sends reports to the other entries, compares reports with them and keeps the store
 // up to date, until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
 	if g.cfg.Store == nil {
-		g.syncedOnce.Do(func() { close(g.synced) })
+		g.recordSynced()
 	} else {
 		go g.watchStore(ctx)
 		go g.writeStore(ctx)
+		defer time.AfterFunc(maxSyncTime, g.recordSynced).Stop()
 	}
 	go g.runSync(ctx)
 	sweep := time.NewTicker(sweepInterval)
@@ -58,6 +66,7 @@
 		case <-sweep.C:
 			g.mu.Lock()
 			g.quarantine.Sweep(time.Now())
+			g.detector.Expire(time.Now())
 			g.update()
 			g.mu.Unlock()
 		case <-g.wake:
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -10,6 +10,7 @@
 package crashguard
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"sync"
@@ -52,7 +53,8 @@
 	// Seed seeds the random delays.
 	Seed uint64
 	// Probe opens a connection to an upstream. Its error has syscall.ECONNREFUSED in its
-	// chain if the upstream refuses the connection.
+	// chain if the upstream refuses the connection. It is nil where agents report the ends
+	// of their upstreams.
 	Probe func(ctx context.Context, address string) error
 	// Hosts returns the hosts of the system, Peers calls the entries among them.
 	Hosts func() []hosts.Host
@@ -69,7 +71,7 @@
 	log     *logrus.Entry
 	// wake makes Run look for reports to send, storeWake for reports to write to the store.
 	wake, storeWake chan struct{}
-	// synced is closed once the reports in the store are known.
+	// synced is closed once the reports in the store are known, or after maxSyncTime.
 	synced     chan struct{}
 	syncedOnce sync.Once
 	// stored are the reports in the store.
@@ -237,7 +239,7 @@
 	now := time.Now()
 	p.sent, p.address = true, u.Address
 	p.upstream = quarantine.Upstream{
-		UpstreamKey: quarantine.UpstreamKey{ID: u.Report.Upstream, Incarnation: u.Report.Incarnation},
+		UpstreamKey: quarantine.UpstreamKey{ID: u.Report.Upstream, Incarnation: cmp.Or(u.Report.UpstreamIncarnation, u.Report.Incarnation)},
 		Service:     p.service, Group: u.Group, Epoch: u.Epoch,
 	}
 	if p.trial {
@@ -282,7 +284,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.passes, p.id)
-	a := g.detector.RecordEnd(p.id, end == attempt.EndBroken, time.Now())
+	a := g.detector.RecordEnd(p.id, end == attempt.EndBroken || end == attempt.EndLost, time.Now())
 	if a != nil && end == attempt.EndComplete && !p.begun {
 		g.recordBegun(p, a)
 	}
@@ -295,6 +297,8 @@
 	switch end {
 	case attempt.EndReplaced:
 		g.confirm(a.Upstream.UpstreamKey, quarantine.LossReplaced)
+	case attempt.EndLost:
+		g.confirm(a.Upstream.UpstreamKey, quarantine.LossReported)
 	case attempt.EndBroken, attempt.EndUnreachable:
 		g.startProbe(a.Upstream.UpstreamKey, p.address)
 	}
@@ -302,7 +306,7 @@
 
 // startProbe probes an upstream unless a probe of it runs. The caller holds the lock.
 func (g *Guard) startProbe(key quarantine.UpstreamKey, address string) {
-	if _, ok := g.probes[key]; ok {
+	if _, ok := g.probes[key]; ok || g.cfg.Probe == nil {
 		return
 	}
 	done := make(chan struct{})
@@ -392,7 +396,7 @@
 	return ok
 }
 
-// IsSynced reports whether the reports in the store are known.
+// IsSynced reports whether the reports in the store are known, or are not waited for.
 func (g *Guard) IsSynced() bool {
 	select {
 	case <-g.synced:
--- a/pkg/crashguard/store.go
+++ b/pkg/crashguard/store.go
@@ -103,7 +103,7 @@
 	name := e.Object.Metadata.Name
 	switch e.Type {
 	case objects.Bookmark:
-		g.syncedOnce.Do(func() { close(g.synced) })
+		g.recordSynced()
 		return
 	case objects.Deleted:
 		g.stored.remove(name)
--- a/pkg/crashguard/trial.go
+++ b/pkg/crashguard/trial.go
@@ -30,7 +30,7 @@
 )
 
 func trialOutcome(end attempt.End) string {
-	if end == attempt.EndBroken {
+	if end == attempt.EndBroken || end == attempt.EndLost {
 		return trialLost
 	}
 	return trialInconclusive
--- a/pkg/filter/attempt/guard.go
+++ b/pkg/filter/attempt/guard.go
@@ -48,6 +48,8 @@
 	EndUnreachable
 	// EndReplaced means that another upstream has the address.
 	EndReplaced
+	// EndLost means that the upstream's agent found that the upstream has ended.
+	EndLost
 )
 
 // revokedDetail is the detail of an attempt whose admission was revoked.
@@ -99,6 +101,8 @@
 		return EndComplete
 	case ctx.Err() != nil || isRevoked(j.pass) || result.Refusal == nil:
 		return EndOther
+	case result.Refusal.UpstreamEnded:
+		return EndLost
 	}
 	switch problem.Reason(result.Refusal.Reason) {
 	case problem.ReasonUpstreamFailed:
--- a/pkg/filter/route/route.go
+++ b/pkg/filter/route/route.go
@@ -7,13 +7,16 @@
 package route
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
@@ -63,7 +66,7 @@
 	Model     string `json:"model"`
 	Stream    bool   `json:"stream"`
 	MaxTokens int    `json:"max_tokens"`
-	// Messages is only used to recognise prompts with the same prefix.
+	// Messages is only used to recognise prompts with the same prefix or the same parts.
 	Messages json.RawMessage `json:"messages"`
 }
 
@@ -87,12 +90,36 @@
 	r.PromptCost = float64(len(r.Body) / promptBytesPerToken)
 	r.ExpectedCost = r.PromptCost + maxResponseCost(&body)
 	r.Prefix = selection.PrefixOf(body.Messages)
+	r.SharedParts = sharedParts(body.Messages)
 	r.Streamed = body.Stream
 	r.Body = streamed
 	r.Idempotent = true
 	return nil
 }
 
+// maxSharedParts limits the messages of a prompt that are looked at.
+const maxSharedParts = 64
+
+// sharedParts returns hashes of a prompt's messages without the last one, which belongs to
+// the request alone. It returns none if the messages are not a list.
+func sharedParts(messages json.RawMessage) []string {
+	var list []json.RawMessage
+	if json.Unmarshal(messages, &list) != nil || len(list) < 2 {
+		return nil
+	}
+	list = list[:min(len(list)-1, maxSharedParts)]
+	parts := make([]string, 0, len(list))
+	for _, message := range list {
+		var compact bytes.Buffer
+		// The message was decoded, so it is valid JSON.
+		_ = json.Compact(&compact, message)
+		if id := fmt.Sprintf("%016x", xxhash.Sum64(compact.Bytes())); !slices.Contains(parts, id) {
+			parts = append(parts, id)
+		}
+	}
+	return parts
+}
+
 // maxResponseCost returns the cost in tokens of the longest response that the caller
 // allows, or the assumed cost if it set no limit.
 func maxResponseCost(body *chatBody) float64 {
--- a/pkg/quarantine/losses.go
+++ b/pkg/quarantine/losses.go
@@ -71,6 +71,8 @@
 const (
 	// LossRefused means that the upstream's address refuses connections.
 	LossRefused LossEvidence = "connection refused"
+	// LossReported means that the agent beside the upstream has reported the end.
+	LossReported LossEvidence = "reported by its agent"
 	// LossReplaced means that another upstream has the address.
 	LossReplaced LossEvidence = "address has another upstream"
 	// LossRestarted means that the platform lists a later incarnation of the upstream.
@@ -183,6 +185,20 @@
 	}
 }
 
+// Expire drops what is too old to matter, for upstreams that are not on a list.
+func (d *LossDetector) Expire(now time.Time) {
+	for key, s := range d.suspects {
+		if now.Sub(s.since) > lossConfirmTime {
+			delete(d.suspects, key)
+		}
+	}
+	for key, counter := range d.sends {
+		if counter.Count(now) == 0 {
+			delete(d.sends, key)
+		}
+	}
+}
+
 // RecordReachable records that an upstream has accepted a connection.
 func (d *LossDetector) RecordReachable(key UpstreamKey) {
 	if s, ok := d.suspects[key]; ok {
