Keep refused attempts from starting after one with an unknown outcome

An agent that refused an attempt as "not run" recorded nothing when an earlier attempt of the same request had an unknown outcome, because the one state of the record would have said that the earlier attempt had not run either. A late copy of the refused attempt could then still start. When the new attempt was admitted first and refused afterwards, the opposite happened: the record was replaced, and a copy of the earlier attempt was refused as "not run" although it may have run.

The record now keeps the highest attempt whose outcome is unknown beside the latest attempt, so that both are told what holds for them.

TestRefusedAttemptDoesNotStartAfterOneWithUnknownOutcome fails in both of its cases without the change.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -117,7 +117,7 @@
 )
 
 // Admit decides on an attempt. An attempt that is refused can't be admitted later,
-// but a later attempt of the same request can. See ledger.Reject for an exception.
+// but a later attempt of the same request can.
 func (g *Gate) Admit(a *api.AttemptRequest, now time.Time) Decision {
 	now = g.clock.at(now)
 	if a.Incarnation != g.cfg.Incarnation {
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -1,13 +1,15 @@
 // Package ledger records the requests that an agent has received, so that work that
 // is not idempotent starts at most once at the agent, and no attempt starts after
-// the agent reported it as "not run" (Reject names an exception). It does no I/O
-// and reads no clock: callers pass the time, and serialise the calls.
+// the agent reported it as "not run". It does no I/O and reads no clock: callers
+// pass the time, and serialise the calls.
 //
 // A record holds the highest attempt number that was refused, withdrawn or
 // started. Attempts up to that number can no longer start. A delayed copy of an
 // attempt that was reported as "not run" therefore can't run, while a new attempt
 // of the same request at the same agent still can. A new attempt of idempotent work
-// can also start when the outcome of an earlier one is unknown.
+// can also start when the outcome of an earlier one is unknown. The record then
+// keeps the number of the earlier one, whose outcome stays unknown whatever happens
+// to the new one.
 //
 // A record is kept until the request's deadline plus the largest clock error.
 // An attempt past its deadline is refused, so that no copy can start after the
@@ -35,8 +37,7 @@
 	StateFinished
 	// StateOutcomeUnknown means that the request was dispatched and its outcome is unknown.
 	StateOutcomeUnknown
-	// StateWithdrawn means that the recorded attempt and those before it have
-	// not run and never will.
+	// StateWithdrawn means that the recorded attempt has not run and never will.
 	StateWithdrawn
 )
 
@@ -79,10 +80,13 @@
 )
 
 type record struct {
-	state    State
-	attempt  int
-	deadline time.Time
-	expiry   time.Time
+	state   State
+	attempt int
+	// unknownUpTo is the highest attempt before the recorded one whose outcome is
+	// unknown, and 0 if none is.
+	unknownUpTo int
+	deadline    time.Time
+	expiry      time.Time
 }
 
 // Ledger holds the records of one agent incarnation.
@@ -106,14 +110,25 @@
 
 // State returns the state that applies to an attempt. It is StateAbsent for an
 // attempt later than a withdrawn one and, if the work is idempotent, for an attempt
-// later than one whose outcome is unknown.
+// later than one whose outcome is unknown. The state of an attempt whose outcome is
+// unknown does not change with those of later ones.
 func (l *Ledger) State(a Attempt, idempotent bool) State {
 	r := l.records[a.RequestID]
-	later := a.Number > r.attempt
-	if later && (r.state == StateWithdrawn || r.state == StateOutcomeUnknown && idempotent) {
+	if r.unknownUpTo > 0 && a.Number <= r.unknownUpTo {
+		return StateOutcomeUnknown
+	}
+	if a.Number <= r.attempt {
+		return r.state
+	}
+	isUnknown := r.state == StateOutcomeUnknown || r.state == StateWithdrawn && r.unknownUpTo > 0
+	switch {
+	case isUnknown && !idempotent:
+		return StateOutcomeUnknown
+	case isUnknown, r.state == StateWithdrawn:
 		return StateAbsent
+	default:
+		return r.state
 	}
-	return r.state
 }
 
 // WithinRetention reports whether a record of the attempt would still be held.
@@ -129,14 +144,9 @@
 }
 
 // Reject records an attempt that is refused, so that no copy of it can start. Its
-// state must be StateAbsent. It keeps the record of an earlier attempt of idempotent
-// work whose outcome is unknown, as StateWithdrawn would state that the earlier
-// attempt has not run; a copy of the refused attempt can then still start.
+// state must be StateAbsent.
 func (l *Ledger) Reject(a Attempt, now time.Time) {
 	l.sweep(now)
-	if l.records[a.RequestID].state == StateOutcomeUnknown {
-		return
-	}
 	l.setRecord(a, StateWithdrawn)
 }
 
@@ -161,7 +171,7 @@
 func (l *Ledger) RefuseAdmitted(id string, attempt int) bool {
 	r := l.records[id]
 	if r.attempt != attempt {
-		return r.attempt > attempt
+		return r.attempt > attempt && attempt > r.unknownUpTo
 	}
 	if r.state == StateAdmitted {
 		l.setState(id, StateWithdrawn)
@@ -209,12 +219,19 @@
 	}
 }
 
+// setRecord replaces the record of the request by one of a later attempt.
 func (l *Ledger) setRecord(a Attempt, s State) {
+	previous := l.records[a.RequestID]
+	unknownUpTo := previous.unknownUpTo
+	if previous.state == StateOutcomeUnknown {
+		unknownUpTo = previous.attempt
+	}
 	l.records[a.RequestID] = record{
-		state:    s,
-		attempt:  a.Number,
-		deadline: a.Deadline,
-		expiry:   a.Deadline.Add(l.clockError),
+		state:       s,
+		attempt:     a.Number,
+		unknownUpTo: unknownUpTo,
+		deadline:    a.Deadline,
+		expiry:      a.Deadline.Add(l.clockError),
 	}
 }
 
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -51,3 +51,49 @@
 		t.Fatal("refusing an earlier attempt ended the current one, or a dispatched attempt was reported as not run")
 	}
 }
+
+func TestRefusedAttemptDoesNotStartAfterOneWithUnknownOutcome(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	attempt := func(n int) Attempt {
+		return Attempt{RequestID: "r", Number: n, Deadline: now.Add(time.Second)}
+	}
+	for name, refuse := range map[string]func(l *Ledger){
+		"rejected": func(l *Ledger) { l.Reject(attempt(2), now) },
+		"refused after admission": func(l *Ledger) {
+			l.Admit(attempt(2), now)
+			l.RefuseAdmitted("r", 2)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(time.Second)
+			l.Admit(attempt(1), now)
+			l.Dispatch("r", 1, now)
+			l.Finish("r", 1, ResultUnknown)
+			refuse(l)
+			if got := l.State(attempt(2), true); got != StateWithdrawn {
+				t.Errorf("a copy of the refused attempt has state %d, want withdrawn", got)
+			}
+			if got := l.State(attempt(1), true); got != StateOutcomeUnknown {
+				t.Errorf("a copy of the first attempt has state %d, want outcome unknown", got)
+			}
+			if got := l.Withdraw(attempt(1), now); got != StateOutcomeUnknown {
+				t.Errorf("withdrawing the first attempt returned state %d, want outcome unknown", got)
+			}
+			if l.RefuseAdmitted("r", 1) {
+				t.Error("the first attempt is reported as not run")
+			}
+			if got := l.Withdraw(attempt(2), now); got != StateWithdrawn {
+				t.Errorf("withdrawing the refused attempt returned state %d, want withdrawn", got)
+			}
+			if got := l.State(attempt(1), true); got != StateOutcomeUnknown {
+				t.Errorf("after the withdrawal, a copy of the first attempt has state %d, want outcome unknown", got)
+			}
+			if got := l.State(attempt(3), true); got != StateAbsent {
+				t.Errorf("the next attempt has state %d, want absent", got)
+			}
+			if got := l.State(attempt(3), false); got != StateOutcomeUnknown {
+				t.Errorf("the next attempt of work that is not idempotent has state %d, want outcome unknown", got)
+			}
+		})
+	}
+}
