Keep attempts that joined a run from starting after its outcome

A new attempt of a request whose earlier one still ran at the agent was given the outcome of that run, and the record named only the earlier attempt. When the run ended as "not run", the new attempt was told so too, and a late copy of it could still start. The record now keeps the highest attempt that joined.

The schedules of pkg/atmostonce compare each attempt that an agent reported as "not run" with the runs of that attempt.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -131,6 +131,7 @@
 	case ledger.StateOutcomeUnknown:
 		return refuse(api.OutcomeUnknown, problem.ReasonOutcomeUnknown)
 	default:
+		g.ledger.Join(attempt)
 		return Decision{Attach: true}
 	}
 	if !g.ledger.WithinRetention(attempt, now) {
--- a/pkg/atmostonce/agent_test.go
+++ b/pkg/atmostonce/agent_test.go
@@ -61,6 +61,11 @@
 
 func (a *agent) attempt(req *api.AttemptRequest, reply replyFunc) {
 	gate := a.gate
+	answer := reply
+	reply = func(o api.Outcome) {
+		a.simulation.recordOutcome(attemptID{req.RequestID, req.Incarnation, req.Attempt}, o)
+		answer(o)
+	}
 	if a.simulation.mutation == noRefusalRecord && gate.Running() >= 2 {
 		reply(api.OutcomeNotRun)
 		return
@@ -98,6 +103,7 @@
 		return api.OutcomeNotRun
 	}
 	outcome := a.gate.Withdraw(req, a.now())
+	a.simulation.recordOutcome(attemptID{req.RequestID, req.Incarnation, req.Attempt}, outcome)
 	if r := a.runs[req.RequestID]; r != nil && outcome == api.OutcomeNotRun && a.gate.RemoveQueued(req.RequestID) {
 		a.refuseQueued(r)
 	}
@@ -183,11 +189,19 @@
 // recordRun counts a run at the upstream.
 func (s *simulation) recordRun(req *api.AttemptRequest) {
 	s.runs[req.RequestID]++
+	s.attemptRuns[attemptID{req.RequestID, req.Incarnation, req.Attempt}]++
 	if !req.Idempotent {
 		s.keyRuns[req.IdempotencyKey]++
 	}
 }
 
+// recordOutcome keeps that an agent reported an attempt as not run.
+func (s *simulation) recordOutcome(id attemptID, o api.Outcome) {
+	if o == api.OutcomeNotRun {
+		s.attemptsNotRun[id] = true
+	}
+}
+
 func (a *agent) releaseClaim(handle *claim.Handle) {
 	if handle != nil {
 		a.addLocal(func() { _ = a.claims.Release(context.Background(), handle) })
--- a/pkg/atmostonce/simulation_test.go
+++ b/pkg/atmostonce/simulation_test.go
@@ -60,6 +60,12 @@
 	run         func()
 }
 
+// attemptID identifies an attempt at one incarnation of an agent.
+type attemptID struct {
+	requestID, incarnation string
+	number                 int
+}
+
 // simulation runs one random schedule.
 type simulation struct {
 	rand     *rand.Rand
@@ -74,6 +80,10 @@
 	// not idempotent by idempotency key.
 	runs    map[string]int
 	keyRuns map[string]int
+	// attemptRuns counts the runs of an attempt, and attemptsNotRun holds the attempts that
+	// an agent reported as not run.
+	attemptRuns    map[attemptID]int
+	attemptsNotRun map[attemptID]bool
 	// faultsStopped disables injected faults and duplicate messages, so that the
 	// remaining events can finish.
 	faultsStopped bool
@@ -89,6 +99,9 @@
 		budget:   retry.NewBudget(1, 10),
 		runs:     make(map[string]int),
 		keyRuns:  make(map[string]int),
+
+		attemptRuns:    make(map[attemptID]int),
+		attemptsNotRun: make(map[attemptID]bool),
 	}
 	s.store = newStore(s)
 	for i := range agentCount {
@@ -200,5 +213,10 @@
 			return fmt.Sprintf("%s was reported as complete and never ran", r.id)
 		}
 	}
+	for id := range s.attemptsNotRun {
+		if s.attemptRuns[id] > 0 {
+			return fmt.Sprintf("attempt %d of %s was reported as not run by %s and ran", id.number, id.requestID, id.incarnation)
+		}
+	}
 	return ""
 }
--- a/pkg/ledger/ledger.go
+++ b/pkg/ledger/ledger.go
@@ -3,13 +3,13 @@
 // the agent reported it as "not run". It does no I/O and reads no clock: callers
 // pass the time, and serialise the calls.
 //
-// A record holds the highest attempt number that was refused, withdrawn or
-// started. Attempts up to that number can no longer start. A delayed copy of an
-// attempt that was reported as "not run" therefore can't run, while a new attempt
-// of the same request at the same agent still can. A new attempt of idempotent work
-// can also start when the outcome of an earlier one is unknown. The record then
-// keeps the number of the earlier one, whose outcome stays unknown whatever happens
-// to the new one.
+// A record holds the highest attempt number that was refused, withdrawn, started or
+// given the response of a started one. Attempts up to that number can no longer
+// start. A delayed copy of an attempt that was reported as "not run" therefore can't
+// run, while a new attempt of the same request at the same agent still can. A new
+// attempt of idempotent work can also start when the outcome of an earlier one is
+// unknown. The record then keeps the number of the earlier one, whose outcome stays
+// unknown whatever happens to the new one.
 //
 // A record is kept until the request's deadline plus the largest clock error.
 // An attempt past its deadline is refused, so that no copy can start after the
@@ -82,6 +82,9 @@
 type record struct {
 	state   State
 	attempt int
+	// joined is the highest later attempt that receives the outcome of the recorded one,
+	// and 0 if none does.
+	joined int
 	// unknownUpTo is the highest attempt before the recorded one whose outcome is
 	// unknown, and 0 if none is.
 	unknownUpTo int
@@ -108,6 +111,9 @@
 // Len returns the number of records.
 func (l *Ledger) Len() int { return len(l.records) }
 
+// lastAttempt returns the highest attempt to which the state applies.
+func (r *record) lastAttempt() int { return max(r.attempt, r.joined) }
+
 // State returns the state that applies to an attempt. It is StateAbsent for an
 // attempt later than a withdrawn one and, if the work is idempotent, for an attempt
 // later than one whose outcome is unknown. The state of an attempt whose outcome is
@@ -117,7 +123,7 @@
 	if r.unknownUpTo > 0 && a.Number <= r.unknownUpTo {
 		return StateOutcomeUnknown
 	}
-	if a.Number <= r.attempt {
+	if a.Number <= r.lastAttempt() {
 		return r.state
 	}
 	isUnknown := r.state == StateOutcomeUnknown || r.state == StateWithdrawn && r.unknownUpTo > 0
@@ -143,6 +149,17 @@
 	l.setRecord(a, StateAdmitted)
 }
 
+// Join records an attempt that receives the outcome of the recorded one, so that no
+// copy of it can start afterwards.
+func (l *Ledger) Join(a Attempt) {
+	r, ok := l.records[a.RequestID]
+	if !ok {
+		return
+	}
+	r.joined = max(r.joined, a.Number)
+	l.records[a.RequestID] = r
+}
+
 // Reject records an attempt that is refused, so that no copy of it can start. Its
 // state must be StateAbsent.
 func (l *Ledger) Reject(a Attempt, now time.Time) {
@@ -212,6 +229,7 @@
 	case a.Number < r.attempt:
 		return StateOutcomeUnknown
 	case r.state == StateAdmitted || r.state == StateWithdrawn:
+		a.Number = max(a.Number, r.lastAttempt())
 		l.setRecord(a, StateWithdrawn)
 		return StateWithdrawn
 	default:
@@ -224,7 +242,7 @@
 	previous := l.records[a.RequestID]
 	unknownUpTo := previous.unknownUpTo
 	if previous.state == StateOutcomeUnknown {
-		unknownUpTo = previous.attempt
+		unknownUpTo = previous.lastAttempt()
 	}
 	l.records[a.RequestID] = record{
 		state:       s,
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -97,3 +97,30 @@
 		})
 	}
 }
+
+func TestJoinedAttemptDoesNotStartAfterItsOutcome(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	attempt := func(n int) Attempt {
+		return Attempt{RequestID: "r", Number: n, Deadline: now.Add(time.Second)}
+	}
+	for name, end := range map[string]func(l *Ledger){
+		"refused":   func(l *Ledger) { l.RefuseAdmitted("r", 1) },
+		"withdrawn": func(l *Ledger) { l.Withdraw(attempt(1), now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(time.Second)
+			l.Admit(attempt(1), now)
+			l.Join(attempt(2))
+			end(l)
+			if got := l.State(attempt(2), true); got != StateWithdrawn {
+				t.Errorf("a copy of the joined attempt has state %d, want withdrawn", got)
+			}
+			if got := l.State(attempt(3), true); got != StateAbsent {
+				t.Errorf("the next attempt has state %d, want absent", got)
+			}
+			if l.Dispatch("r", 1, now) {
+				t.Error("the first attempt is dispatched after its end")
+			}
+		})
+	}
+}
