Keep the detail of an attempt that broke off when its retry is refused

The entry sent a second attempt to the same agent, whose latest report was made before it noticed the end of its engine. That attempt was refused as "not run" without a detail, which replaced the detail of the first one. The job now keeps the refusal of the latest attempt that may have run beside the latest refusal, and the error that says that a request may have run takes its reason and detail from the former.

TestRefusedRetryKeepsDetailOfBrokenAttempt fails in both cases before the change.

--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -187,8 +187,9 @@
 	request  *pipe.Request
 	exchange Exchange
 	state    retry.Request
-	// refusal is the last refusal of an agent.
-	refusal *api.Refusal
+	// refusal is the refusal of the latest attempt, ranRefusal that of the latest one that
+	// may have run.
+	refusal, ranRefusal *api.Refusal
 	// ticketID identifies the current attempt at the fleet. It changes only when the
 	// request moves.
 	ticketID string
@@ -313,8 +314,14 @@
 
 // recordRefusal keeps the refusal of a result, if any, and returns the result.
 func (j *job) recordRefusal(result Result) Result {
-	if result.Refusal != nil {
-		j.refusal = result.Refusal
+	if result.Refusal == nil {
+		return result
+	}
+	j.refusal = result.Refusal
+	switch result.Event {
+	case retry.EventNotRun, retry.EventNotSent, retry.EventRejected:
+	default:
+		j.ranRefusal = result.Refusal
 	}
 	return result
 }
@@ -352,11 +359,14 @@
 }
 
 // failureReason returns why the last attempt failed.
-func (j *job) failureReason() problem.Reason {
-	if j.refusal == nil {
+func (j *job) failureReason() problem.Reason { return reasonOf(j.refusal) }
+
+// reasonOf returns the reason of a refusal, or that the outcome is unknown without one.
+func reasonOf(refusal *api.Refusal) problem.Reason {
+	if refusal == nil {
 		return problem.ReasonOutcomeUnknown
 	}
-	return problem.Reason(j.refusal.Reason)
+	return problem.Reason(refusal.Reason)
 }
 
 // acquireError returns the error for the caller when no upstream was acquired.
@@ -374,32 +384,37 @@
 	return j.finalProblem(retry.ActionRefuseUnknown)
 }
 
-// finalProblem returns the error for the caller when the request is not retried.
+// finalProblem returns the error for the caller when the request is not retried. What
+// happened to the attempt that may have run is more than that a later one did not run.
 func (j *job) finalProblem(action retry.Action) error {
+	refusal := j.refusal
+	if action != retry.ActionRefuseNotRun && j.ranRefusal != nil {
+		refusal = j.ranRefusal
+	}
 	detail := ""
-	if j.refusal != nil {
-		detail = j.refusal.Detail
+	if refusal != nil {
+		detail = refusal.Detail
 	}
 	switch action {
 	case retry.ActionAbort:
 		return problem.New(problem.ReasonStreamBroken, detail)
 	case retry.ActionRefuseUnknown:
-		return j.unknownOutcomeProblem(detail)
+		return j.unknownOutcomeProblem(reasonOf(refusal), detail)
 	default:
-		if j.refusal == nil {
+		if refusal == nil {
 			return problem.New(problem.ReasonRetriesExhausted, "")
 		}
-		return problem.New(j.failureReason(), detail).WithRan(problem.RanNo)
+		return problem.New(reasonOf(refusal), detail).WithRan(problem.RanNo)
 	}
 }
 
 // unknownOutcomeProblem returns the error for the caller of a request that may have run.
 // It states a time after which to retry only if the request is safe to send again.
-func (j *job) unknownOutcomeProblem(detail string) error {
+func (j *job) unknownOutcomeProblem(reason problem.Reason, detail string) error {
 	if j.request.Idempotent && !time.Now().Before(j.request.Deadline) {
 		return problem.New(problem.ReasonDeadlineExceeded, "").WithRan(problem.RanUnknown)
 	}
-	p := problem.New(j.failureReason(), detail)
+	p := problem.New(reason, detail)
 	if p.Reason == problem.ReasonPromptQuarantined {
 		return p.WithRan(problem.RanUnknown).WithStatus(http.StatusBadGateway)
 	}
--- a/pkg/filter/attempt/restart_test.go
+++ b/pkg/filter/attempt/restart_test.go
@@ -116,3 +116,48 @@
 		})
 	}
 }
+
+// TestRefusedRetryKeepsDetailOfBrokenAttempt guards against a final error without a detail:
+// the attempt that broke off says what happened, and the retry is refused as not run.
+func TestRefusedRetryKeepsDetailOfBrokenAttempt(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		relays bool
+		reason problem.Reason
+	}{
+		{"held back", false, problem.ReasonUpstreamFailed},
+		{"relayed", true, problem.ReasonStreamBroken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			broken := newFrameAgent(t,
+				api.Frame{Kind: api.FrameHeader, RequestID: "r", Status: http.StatusOK},
+				api.Frame{Kind: api.FrameData, RequestID: "r", Seq: 1, Data: []byte("one ")},
+				api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeUnknown, Refusal: &api.Refusal{Reason: string(problem.ReasonUpstreamFailed), Detail: "unexpected EOF"}})
+			refusing := newFrameAgent(t,
+				api.Frame{Kind: api.FrameFinal, RequestID: "r", Outcome: api.OutcomeNotRun, Refusal: &api.Refusal{Reason: string(problem.ReasonUpstreamUnreachable), Permanent: true}})
+			h := New(Config{SilenceTimeout: 5 * time.Second, StatusQueryTimeout: time.Second, RetryRatio: 1, RetryBurst: 10},
+				&sequentialAgents{addresses: []string{broken, refusing}}, NewAgentTransport(peer.NewAgentClient("token")), prometheus.NewRegistry())
+			err := h.Serve(t.Context(), &pipe.Request{
+				ID: "r", Organisation: &table.Organisation{}, Service: &table.Service{},
+				Idempotent: true, Deadline: time.Now().Add(time.Minute), Reply: &fakeReply{relays: tc.relays},
+			})
+			var p *problem.Problem
+			if !errors.As(err, &p) || p.Reason != tc.reason || p.Detail != "unexpected EOF" {
+				t.Errorf("got %+v, want the detail of the broken attempt", err)
+			}
+		})
+	}
+}
+
+// newFrameAgent returns the address of an agent that responds to each attempt with frames.
+func newFrameAgent(t *testing.T, frames ...api.Frame) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		encoder := json.NewEncoder(w)
+		for i := range frames {
+			_ = encoder.Encode(&frames[i])
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
