Forget parts that were displaced from a report of a lost upstream

A report keeps a limited number of parts. Merging one with lower names displaces others, but the index of parts kept those, so it grew with each such merge and outlived the reports.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -299,13 +299,14 @@
 		q.repeatRefutations(report, now)
 	}
 	r.Epoch = max(r.Epoch, report.Epoch)
+	previous := r.Candidates
 	changed := r.merge(report, now) || !ok
 	if q.addKnowledge(r, now) {
 		changed = true
 		q.scheduleAfter(r, now, q.randomDelay(maxReplyDelay))
 	}
 	if changed {
-		q.reindex(r)
+		q.reindex(r, previous)
 		q.changed(r)
 	}
 	q.evict(now)
@@ -602,8 +603,14 @@
 	return s
 }
 
-// reindex adds a report to the index of its parts.
-func (q *Quarantine) reindex(r *record) {
+// reindex adds a report to the index of its parts, and removes it from that of those parts
+// among its previous ones which it has no more.
+func (q *Quarantine) reindex(r *record, previous map[string]Candidate) {
+	for part := range previous {
+		if _, ok := r.Candidates[part]; !ok {
+			q.unindex(partKey{r.Service, part}, r)
+		}
+	}
 	for part := range r.Candidates {
 		key := partKey{r.Service, part}
 		if !slices.Contains(q.index[key], r) {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -479,6 +479,33 @@
 	}
 }
 
+// TestDisplacedCandidatesAreForgotten merges reports with more candidates than are kept: the
+// index of parts must not keep those that were displaced.
+func TestDisplacedCandidatesAreForgotten(t *testing.T) {
+	f := newFixture(t, "e")
+	for i := range 3 {
+		report := Report{Upstream: "u", Incarnation: "1", Service: model, Candidates: make(map[string]Candidate)}
+		for j := range maxCandidates {
+			// Each report has lower names, which displace the higher ones.
+			report.Candidates[fmt.Sprintf("p%d-%d", 9-i, j)] = Candidate{Organisations: []string{"o"}}
+		}
+		if err := f.Merge(&report, f.now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(f.index) > maxCandidates {
+		t.Errorf("%d parts in the index", len(f.index))
+	}
+	if f.Release(model, "p9-0", f.now) {
+		t.Error("a displaced part was released")
+	}
+	f.wait(recordLifetime + time.Second)
+	f.Sweep(f.now)
+	if len(f.index) > 0 {
+		t.Errorf("%d parts in the index after their lifetime", len(f.index))
+	}
+}
+
 // TestEvictionKeepsQuarantines checks that many later losses don't push out the reports of
 // a quarantined part.
 func TestEvictionKeepsQuarantines(t *testing.T) {
