Copy a report of a lost upstream before it is sent

Reports that are sent to other entries or to the store are encoded without the lock of the quarantine, and shared the maps of the kept ones. A response that began meanwhile, or a release by operators, wrote to such a map: a concurrent map access, which ends the process.

--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -442,6 +442,34 @@
 	return report
 }
 
+// TestExportedReportsDoNotChange checks that reports can be encoded while the quarantine goes
+// on: entries send them without holding its lock.
+func TestExportedReportsDoNotChange(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"begun":    func(f *fixture) { f.begin("o", "part") },
+		"released": func(f *fixture) { f.Release(model, "part", f.now) },
+		"merged": func(f *fixture) {
+			other := Report{Upstream: "e-1", Incarnation: "1", Service: model, Candidates: map[string]Candidate{"part": {Since: []string{"o"}}}}
+			if err := f.Merge(&other, f.now); err != nil {
+				f.t.Error(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, "e")
+			f.loseIn("g", 1, request("o", "part"))
+			for _, reports := range [][]Report{f.Due(f.now), f.Reports(f.now)} {
+				change(f)
+				if c := reports[0].Candidates["part"]; c.isRefuted() {
+					t.Errorf("the exported report has changed: %+v", c)
+				}
+				f = newFixture(t, "e")
+				f.loseIn("g", 1, request("o", "part"))
+			}
+		})
+	}
+}
+
 // TestMemoryIsBounded feeds far more losses, candidates and parts than are kept.
 func TestMemoryIsBounded(t *testing.T) {
 	f := newFixture(t, "e")
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -140,9 +140,11 @@
 	return UpstreamKey{ID: r.Upstream, Incarnation: r.Incarnation}
 }
 
-// export returns the report with its current age. The result shares its maps.
+// export returns a copy of the report with its current age. Later changes of the record
+// don't affect it.
 func (r *record) export(now time.Time) Report {
 	report := r.Report
+	report.Candidates, report.Observations = maps.Clone(r.Candidates), maps.Clone(r.Observations)
 	report.AgeMillis = max(0, now.Sub(r.noticedAt).Milliseconds())
 	return report
 }
