Limit the calls of requests that wait for a trial

Each request that waits for the trial of a suspected part called the entry that grants it ten times a second. A part that many requests have at once, such as a new first part of all of a caller's prompts, made thousands of calls. An entry now calls at most 50 times a second for a service, however many requests wait.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -88,6 +88,8 @@
 	probes map[quarantine.UpstreamKey]chan struct{}
 	// unreachable are the entries that could not be asked for a trial, by the time of that.
 	unreachable map[string]time.Time
+	// nextAsk is when the trial of a service may be asked for again.
+	nextAsk map[string]time.Time
 	// changes is the value of Quarantine.Changes at the latest update, and changed is
 	// closed, and replaced, at each.
 	changes uint64
@@ -102,7 +104,7 @@
 		cfg: cfg, metrics: newMetrics(cfg.Registry), log: logging.For("crashguard"), wake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), synced: make(chan struct{}),
 		stored: newStoredReports(), detector: quarantine.NewLossDetector(), quarantine: quarantine.New(cfg.Entry, cfg.Seed),
 		trials: quarantine.NewTrials(), passes: make(map[string]*pass), probes: make(map[quarantine.UpstreamKey]chan struct{}),
-		unreachable: make(map[string]time.Time), changed: make(chan struct{}), standings: make(map[standingKey]quarantine.Standing),
+		unreachable: make(map[string]time.Time), nextAsk: make(map[string]time.Time), changed: make(chan struct{}), standings: make(map[standingKey]quarantine.Standing),
 	}
 }
 
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/acaciaglade/acaciaglade/pkg/api"
+	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
 	"github.com/acaciaglade/acaciaglade/pkg/fleet"
 	"github.com/acaciaglade/acaciaglade/pkg/hosts"
@@ -37,6 +40,8 @@
 	hosts   []hosts.Host
 	refuses map[string]bool
 	store   *memoryStore
+	// trialCalls counts the calls of entries that ask for a trial or end one.
+	trialCalls atomic.Int64
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -50,6 +55,14 @@
 		Store: c.store, Registry: prometheus.NewRegistry(),
 	})
 	e := echo.New()
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(ec echo.Context) error {
+			if strings.HasSuffix(ec.Path(), peer.PathTrials) {
+				c.trialCalls.Add(1)
+			}
+			return next(ec)
+		}
+	})
 	g.RegisterPeerRoutes(e.Group("", peer.RequireToken(token)))
 	s := httptest.NewServer(e)
 	c.addHost(name, s.URL)
@@ -274,6 +287,42 @@
 	}
 }
 
+// TestTrialCallsAreBounded lets many requests wait for a trial that another one has: only few
+// of them may call the entry that grants it.
+func TestTrialCallsAreBounded(t *testing.T) {
+	c := newCluster(t)
+	a, _ := c.start("a")
+	b, _ := c.start("b")
+	if !c.sendToCrash(a, "first", "part") {
+		t.Fatal("the first request was not admitted")
+	}
+	eventually(t, "suspicion", func() bool {
+		return hasState(a, "part", quarantine.StateSuspected)() && hasState(b, "part", quarantine.StateSuspected)()
+	})
+	// The entry that does not grant trials has to call the other one.
+	caller := a
+	if ceiling.HomeEntry("m", []string{"a", "b"}) == "a" {
+		caller = b
+	}
+	if _, err := caller.Admit(t.Context(), newRequest("o", "part"), nil); err != nil {
+		t.Fatal(err)
+	}
+	const waiting = 200
+	var refused sync.WaitGroup
+	started := time.Now()
+	for range waiting {
+		refused.Go(func() {
+			if refusalOf(caller, "o", "part") == nil {
+				t.Error("admitted during the trial")
+			}
+		})
+	}
+	refused.Wait()
+	if calls, limit := c.trialCalls.Load(), int64(time.Since(started)/minAskInterval)+2; calls > limit {
+		t.Errorf("%d calls, want at most %d", calls, limit)
+	}
+}
+
 // TestUnreachableEntryDoesNotBlockTrials asks for a trial while the entry that grants it is
 // gone.
 func TestUnreachableEntryDoesNotBlockTrials(t *testing.T) {
--- a/pkg/crashguard/trial.go
+++ b/pkg/crashguard/trial.go
@@ -16,6 +16,9 @@
 const (
 	// trialCallTimeout limits the call of one entry, many times the latency between hosts.
 	trialCallTimeout = 150 * time.Millisecond
+	// minAskInterval is the shortest time from one request that asks for the trial of a
+	// service to the next at an entry.
+	minAskInterval = 20 * time.Millisecond
 	// maxTrialCalls is the number of entries that are called, one after the other.
 	maxTrialCalls = 3
 	// unreachableTime is how long an entry that could not be called is not asked again.
@@ -36,10 +39,13 @@
 	return trialInconclusive
 }
 
-// beginTrial asks for the trial of a service. One entry, the same for all, grants it. If
-// that one can't be reached, the next ones in a common order are asked, and at last this
-// entry decides alone.
+// beginTrial asks for the trial of a service, unless another request of this entry has asked
+// for it lately. One entry, the same for all, grants it. If that one can't be reached, the
+// next ones in a common order are asked, and at last this entry decides alone.
 func (g *Guard) beginTrial(ctx context.Context, p *pass) bool {
+	if !g.mayAsk(p.service) {
+		return false
+	}
 	addresses := g.entryAddresses()
 	names := g.reachableNames(addresses)
 	call := peer.TrialRequest{Service: p.service, ID: g.cfg.Entry + "/" + p.id}
@@ -63,6 +69,19 @@
 	return g.handleTrial(&call)
 }
 
+// mayAsk reports whether a trial of a service may be asked for, and records that it is. It
+// bounds the calls however many requests wait.
+func (g *Guard) mayAsk(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if now.Before(g.nextAsk[service]) {
+		return false
+	}
+	g.nextAsk[service] = now.Add(minAskInterval)
+	return true
+}
+
 // entryAddresses returns the addresses of the entries by name, this one included.
 func (g *Guard) entryAddresses() map[string]string {
 	addresses := map[string]string{g.cfg.Entry: ""}
