Skip informational responses of upstreams

An upstream that sends an informational response (status 100 or 103) before its response was not understood: the pool returned the informational one as the response, which names no request, so the attempt ended with an unknown outcome. The pool now skips up to five of them. Their headers have the same bounds as others, and more of them end the attempt and its connection.

TestInformationalResponsesAreSkipped and two cases of TestEndlessHeaderIsRejected fail before the change.

--- a/pkg/connpool/endless_test.go
+++ b/pkg/connpool/endless_test.go
@@ -71,6 +71,8 @@
 		{"fields", "HTTP/1.1 200 OK\r\n", "X-Name: " + long + "\r\n", 0},
 		{"no protocol", "", long, 0},
 		{"line feeds", "", strings.Repeat("\n", 4<<10), 0},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", 0},
+		{"informational responses, one now and then", "", "HTTP/1.1 103 Early Hints\r\n\r\n", 50 * time.Millisecond},
 		{"a field, a byte now and then", "HTTP/1.1 200 OK\r\nX-Name: ", "x", 50 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -99,6 +101,32 @@
 	}
 }
 
+// TestInformationalResponsesAreSkipped sends informational responses before the final one,
+// which may take longer than a header.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	const hints = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+	for name, respond := range map[string]func(c io.Writer){
+		"together": func(c io.Writer) { _, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"+hints+validResponse) },
+		"apart": func(c io.Writer) {
+			_, _ = io.WriteString(c, hints)
+			time.Sleep(headerTimeout + 200*time.Millisecond)
+			_, _ = io.WriteString(c, validResponse)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u, p := newWritingUpstream(t, respond), newTestPool()
+			for range 2 {
+				if body, err := send(t, p, u, Options{}); err != nil || body != "good" {
+					t.Fatalf("%q, %v", body, err)
+				}
+			}
+			if n := u.opened.Load(); n != 1 {
+				t.Errorf("%d connections for two consecutive requests", n)
+			}
+		})
+	}
+}
+
 // TestSlowFirstByteIsAccepted lets an upstream wait for longer than headerTimeout before it
 // responds: the timeout starts at the first byte.
 func TestSlowFirstByteIsAccepted(t *testing.T) {
--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -38,13 +38,33 @@
 			x.writeResult <- err
 		}()
 	}
+	for range maxInformational + 1 {
+		response, err := x.readHeader(req)
+		if err != nil {
+			return err
+		}
+		if !isInformational(response) {
+			x.response = response
+			return nil
+		}
+	}
+	return errTooManyInformational
+}
+
+// readHeader reads the header of a response.
+func (x *Exchange) readHeader(req *http.Request) (*http.Response, error) {
 	x.conn.header.startHeader()
 	response, err := http.ReadResponse(x.conn.reader, req)
 	if err != nil {
-		return errors.Wrap(err, "no answer")
+		return nil, errors.Wrap(err, "no answer")
 	}
-	x.response = response
-	return x.conn.header.endHeader()
+	return response, x.conn.header.endHeader()
+}
+
+// isInformational reports whether another response to the same request follows. None
+// follows a change of the protocol.
+func isInformational(r *http.Response) bool {
+	return r.StatusCode < http.StatusOK && r.StatusCode != http.StatusSwitchingProtocols
 }
 
 // Status returns the status code of the response.
--- a/pkg/connpool/header.go
+++ b/pkg/connpool/header.go
@@ -16,12 +16,19 @@
 	// headerTimeout limits the time from the first byte of a header to its last one. A
 	// valid header is written at once.
 	headerTimeout = 2 * time.Second
+	// maxInformational is the number of informational responses (status 1xx) that may
+	// precede a response.
+	maxInformational = 5
 )
 
 // errHeaderTooLong means that an upstream sent more than maxHeaderBytes without completing
 // a header.
 var errHeaderTooLong = errors.New("the head of the answer is too long; look at the upstream")
 
+// errTooManyInformational means that an upstream sent more than maxInformational
+// informational responses.
+var errTooManyInformational = errors.New("too many informational responses; look at the upstream")
+
 // headerReader reads from a connection and limits what is read as part of a header.
 type headerReader struct {
 	net.Conn
--- a/pkg/connpool/pool_test.go
+++ b/pkg/connpool/pool_test.go
@@ -25,6 +25,26 @@
 // newFakeUpstream responds to the n-th request over all connections with respond(n). An
 // empty response closes the connection.
 func newFakeUpstream(t *testing.T, respond func(n int32) string) *fakeUpstream {
+	t.Helper()
+	var served atomic.Int32
+	return newServingUpstream(t, func(c net.Conn) bool {
+		text := respond(served.Add(1))
+		_, _ = io.WriteString(c, text)
+		return text != ""
+	})
+}
+
+// newWritingUpstream responds to each request with what respond writes.
+func newWritingUpstream(t *testing.T, respond func(c io.Writer)) *fakeUpstream {
+	t.Helper()
+	return newServingUpstream(t, func(c net.Conn) bool {
+		respond(c)
+		return true
+	})
+}
+
+// newServingUpstream calls serve for each request, until it returns false.
+func newServingUpstream(t *testing.T, serve func(c net.Conn) bool) *fakeUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -32,7 +52,6 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	u := &fakeUpstream{Listener: l}
-	var served atomic.Int32
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -51,11 +70,9 @@
 					if _, err := io.Copy(io.Discard, req.Body); err != nil {
 						return
 					}
-					text := respond(served.Add(1))
-					if text == "" {
+					if !serve(c) {
 						return
 					}
-					_, _ = io.WriteString(c, text)
 				}
 			}()
 		}
