Don't take a blank line after the last event for a broken stream

A complete stream with a third line feed after its last event counted as broken off when that line feed arrived in a piece of its own, and its request was sent again or refused. Events are separated by blank lines; more of them are no part of an event.

The end of an event is now searched in the new bytes only: an event of 256 KiB that arrives byte by byte was read once for each byte.

--- a/pkg/stream/events.go
+++ b/pkg/stream/events.go
@@ -37,15 +37,17 @@
 // more of the stream must be used: it may contain another response, or bytes that never
 // complete an event.
 func (e *EventSplitter) Append(b []byte) ([]byte, error) {
+	// Only the end of an event can be split between the bytes before and the new ones.
+	searched := max(0, len(e.partial)-len(eventEnd)+1)
 	e.partial = append(e.partial, b...)
-	end := bytes.LastIndex(e.partial, eventEnd)
+	end := bytes.LastIndex(e.partial[searched:], eventEnd)
 	if end < 0 {
 		if len(e.partial) > maxEventBytes {
 			return nil, ErrEventTooLong
 		}
 		return nil, nil
 	}
-	end += len(eventEnd)
+	end += searched + len(eventEnd)
 	whole := bytes.Clone(e.partial[:end])
 	e.partial = append(e.partial[:0], e.partial[end:]...)
 	if err := e.recordIDs(whole); err != nil {
@@ -72,8 +74,9 @@
 	return nil
 }
 
-// HasPartialEvent reports whether part of an event has arrived.
-func (e *EventSplitter) HasPartialEvent() bool { return len(e.partial) > 0 }
+// HasPartialEvent reports whether part of an event has arrived. Blank lines between events
+// are no part of one.
+func (e *EventSplitter) HasPartialEvent() bool { return len(bytes.Trim(e.partial, "\n")) > 0 }
 
 // LastID returns the ID of the last whole event, or an empty string before the first.
 func (e *EventSplitter) LastID() string { return e.lastID }
--- a/pkg/stream/events_test.go
+++ b/pkg/stream/events_test.go
@@ -93,3 +93,20 @@
 		t.Errorf("resumed with %q, last event %s, partial event %v", got, e.LastID(), e.HasPartialEvent())
 	}
 }
+
+// TestBlankLinesAreNoEvent guards against a complete stream that is reported as broken off
+// because a blank line follows its last event in a piece of its own.
+func TestBlankLinesAreNoEvent(t *testing.T) {
+	var e EventSplitter
+	for _, piece := range []string{"id: 1\n\n", "\n", "\n\n\n"} {
+		if _, err := e.Append([]byte(piece)); err != nil {
+			t.Fatal(err)
+		}
+		if e.HasPartialEvent() {
+			t.Errorf("a partial event after %q", piece)
+		}
+	}
+	if _, err := e.Append([]byte("id: 2\n")); err != nil || !e.HasPartialEvent() {
+		t.Errorf("no partial event: %v", err)
+	}
+}
