--- a/pkg/connpool/pool.go
+++ b/pkg/connpool/pool.go
@@ -162,8 +162,12 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	header := &headerReader{Conn: netConn}
-	return &conn{Conn: netConn, address: address, header: header, reader: bufio.NewReaderSize(header, readBufferBytes)}, nil
+	return newConn(netConn, address), nil
+}
+
+func newConn(c net.Conn, address string) *conn {
+	header := &headerReader{Conn: c}
+	return &conn{Conn: c, address: address, header: header, reader: bufio.NewReaderSize(header, readBufferBytes)}
 }
 
 // takeIdle removes and returns the connection with the shortest idle time, or nil if none
