--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -79,6 +79,9 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
+// IsOnReusedConnection reports whether the connection may have carried an earlier request.
+func (x *Exchange) IsOnReusedConnection() bool { return x.conn.reused }
+
 // Read reads the body. It returns io.EOF at its end, and any other error if the response
 // is incomplete.
 func (x *Exchange) Read(b []byte) (int, error) {
