Log limits that upstreams name

The logs could not tell whether entries ignore the limit that an upstream names, or keep it each for itself. Entries now decode it, keep what is known of it in the new package sendlimit, and log its beginning, its changes and its end with the attempts that they sent there in the last second. Nothing is limited yet.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -10,11 +10,14 @@
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 	"github.com/acaciaglade/acaciaglade/pkg/recent"
 	"github.com/acaciaglade/acaciaglade/pkg/selection"
+	"github.com/acaciaglade/acaciaglade/pkg/sendlimit"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
 // Config holds the settings of a dispatcher.
 type Config struct {
+	// Entry is the entry's name.
+	Entry string
 	// FailureDomain is the entry's failure domain. Upstreams in it are preferred.
 	FailureDomain string
 	// Seed seeds the random choice among equally loaded upstreams.
@@ -77,6 +80,8 @@
 	rand     *rand.Rand
 	services map[string]*service
 	attempts map[string]*attempt
+	// limits holds the limits that upstreams name.
+	limits *sendlimit.Table
 	// limitDivisor divides the limits that all entries keep together, 0 while the
 	// number of entries is unknown.
 	limitDivisor   int
@@ -123,6 +128,7 @@
 		rand:           rand.New(rand.NewPCG(cfg.Seed, 0)),
 		services:       make(map[string]*service),
 		attempts:       make(map[string]*attempt),
+		limits:         sendlimit.New(cfg.Entry),
 		isOutOfService: func(string, string) bool { return false },
 	}
 }
@@ -173,10 +179,13 @@
 // the decisions that follow.
 func (d *Dispatcher) SetUpstreams(list []Upstream, now time.Time) []Decision {
 	byService := make(map[string][]Upstream)
+	listed := make(map[sendlimit.Key]bool, len(list))
 	for _, u := range list {
+		listed[u.limitKey()] = true
 		byService[u.Service] = append(byService[u.Service], u)
 		d.service(u.Service)
 	}
+	d.limits.SetListed(listed, now)
 	var decisions []Decision
 	for name, s := range d.services {
 		s.replaceUpstreams(byService[name], d.isOutOfService)
