Reproduce upstreams that get more than the limit that they name

The simulated upstreams of the soak can name a limit, and count the requests that reach them from all entries: in any 4 s at most 1.5 times the limit and 5 more, from 3 s after it was first named.

TestSendLimitHoldsOverAllEntries (3 entries, 4 ranks and 2 plain upstreams as processes) fails on this code: 7 requests where 6.2 are allowed, 18 where 17 are. It also wants nine tenths of the limit used while requests wait.

--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -60,6 +60,8 @@
 	// incarnation counts the starts.
 	incarnation int
 	faults      upstreamFaults
+	// limit is the limit that the upstream names, nil for none.
+	limit *sendLimit
 	rand        *rand.Rand
 }
 
@@ -79,6 +81,7 @@
 	u.incarnation++
 	u.id = fmt.Sprintf("i-%s-%d", u.host, u.incarnation)
 	u.born, u.alive, u.draining, u.drainingSince, u.running = time.Now().UnixMilli(), true, false, time.Time{}, 0
+	u.limit = nil
 	u.address = l.Addr().String()
 	u.srv = &http.Server{Handler: u}
 	u.mu.Unlock()
@@ -181,6 +184,7 @@
 	}
 	attempt := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", attempt)
+	u.recordArrival(w.Header(), time.Now())
 	if expected := r.Header.Get("X-Expect-Replica"); expected != "" && expected != id {
 		respondNotRun(w, http.StatusMisdirectedRequest)
 		return
