Keep requests to upstreams within the limits that they name

What callers saw: nothing; an upstream in need got as many requests as before it named its limit, from all entries together up to three times what it takes.

Cause: entries didn't read the limit. Each selects upstreams by its own load, and nothing that binds all entries together applied to an upstream that is not cold.

Change: package sendlimit decides from responses and other entries' reports which limits apply. Entries share each limit by the leases that ceilings use, so that the sum of their rates stays within it also while they can't reach each other, and tell each other of changes directly (package limitexchange); the store has no part in it. The dispatcher sends requests to limited upstreams when no other has room, and one now and then to notice the end of a limit. Every attempt asks the dispatcher, so retries, resumed streams and trials keep to it. When all upstreams of a service name limits, what can't be sent in time is refused at once as upstream_limited.

Evidence: TestSendLimitHoldsOverAllEntries failed before (7 of 6.2, 18 of 17) and passes, with nine tenths of the limit used.

--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -62,7 +62,7 @@
 	faults      upstreamFaults
 	// limit is the limit that the upstream names, nil for none.
 	limit *sendLimit
-	rand        *rand.Rand
+	rand  *rand.Rand
 }
 
 // slots is the number of requests that an upstream runs at once.
--- a/pkg/ceiling/limiter.go
+++ b/pkg/ceiling/limiter.go
@@ -16,6 +16,34 @@
 	Requests []BatchItem `json:"asks"`
 }
 
+// Batches holds lease requests by the home that they are for.
+type Batches map[string]*BatchRequest
+
+// Add adds a request to the batch for its home. It does nothing when there are no entries.
+func (b Batches) Add(item BatchItem, entries []string) {
+	home := HomeEntry(item.Organisation, entries)
+	if home == "" {
+		return
+	}
+	batch, ok := b[home]
+	if !ok {
+		batch = &BatchRequest{Entries: len(entries)}
+		b[home] = batch
+	}
+	batch.Requests = append(batch.Requests, item)
+}
+
+// Merge adds the requests of other batches.
+func (b Batches) Merge(others Batches) {
+	for home, batch := range others {
+		if own, ok := b[home]; ok {
+			own.Requests = append(own.Requests, batch.Requests...)
+			continue
+		}
+		b[home] = batch
+	}
+}
+
 // BatchItem is a LeaseRequest with the organisation's ceiling in tokens a second.
 type BatchItem struct {
 	LeaseRequest
@@ -76,23 +104,14 @@
 
 // LeaseRequests returns the requests to send to each home now, and removes idle
 // buckets.
-func (l *Limiter) LeaseRequests(entries []string, now time.Time) map[string]*BatchRequest {
-	batches := make(map[string]*BatchRequest)
+func (l *Limiter) LeaseRequests(entries []string, now time.Time) Batches {
+	batches := make(Batches)
 	for organisation, b := range l.buckets {
 		if b.Idle(now) {
 			delete(l.buckets, organisation)
 			continue
 		}
-		home := HomeEntry(organisation, entries)
-		if home == "" {
-			continue
-		}
-		batch, ok := batches[home]
-		if !ok {
-			batch = &BatchRequest{Entries: len(entries)}
-			batches[home] = batch
-		}
-		batch.Requests = append(batch.Requests, BatchItem{LeaseRequest: b.NextRequest(organisation, l.entry, now), Ceiling: b.ceiling})
+		batches.Add(BatchItem{LeaseRequest: b.NextRequest(organisation, l.entry, now), Ceiling: b.ceiling}, entries)
 	}
 	return batches
 }
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -128,7 +128,7 @@
 		rand:           rand.New(rand.NewPCG(cfg.Seed, 0)),
 		services:       make(map[string]*service),
 		attempts:       make(map[string]*attempt),
-		limits:         sendlimit.New(cfg.Entry),
+		limits:         sendlimit.New(cfg.Entry, cfg.Seed),
 		isOutOfService: func(string, string) bool { return false },
 	}
 }
@@ -319,6 +319,7 @@
 // those that can't be on time any more to the late queue, and returns the decisions that
 // follow.
 func (d *Dispatcher) Tick(now time.Time) []Decision {
+	d.limits.Tick(now)
 	var decisions []Decision
 	for _, s := range d.services {
 		if s.queues.Len() == 0 {
@@ -332,7 +333,7 @@
 		for _, it := range expired {
 			p := d.serviceRefusal(s, now)
 			if p == nil {
-				p = d.newRefusal(problem.ReasonOverloaded, s.predictWait(now), s.queueDetail(now))
+				p = d.overloadRefusal(s, now)
 			}
 			delete(s.waiting, it.ID)
 			decisions = append(decisions, Decision{ID: it.ID, Refusal: p})
@@ -365,6 +366,7 @@
 		delete(s.waiting, it.ID)
 		chosen.ownAttempts.add(1, now)
 		chosen.recentSends.Add(now)
+		d.limits.Spend(chosen.limitKey())
 		s.dispatched.Add(now)
 		s.lastDispatchAt = now
 		d.attempts[it.ID] = &attempt{service: s, candidate: chosen, sentAt: now}
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/acaciaglade/acaciaglade/pkg/sendlimit"
 )
 
 // GroupLoad is the load of a group's ranks as reported by its coordinator.
@@ -167,15 +169,28 @@
 }
 
 // selectUpstream returns the upstream for a request, or nil if none has free capacity.
-// It prefers the upstream with the fewest requests of this entry. Requests of other
-// entries don't count here: they are reported late, and entries that act on the same
-// stale load overload the same upstreams. Full groups are skipped.
+// Those that name no limit go first, and with them those whose limit must be confirmed.
 func (d *Dispatcher) selectUpstream(s *service, r *Request, fullGroups map[string]bool, now time.Time) *candidate {
+	if d.limits.IsEmpty() {
+		return d.selectAmong(s, r, fullGroups, now, func(sendlimit.Key) bool { return true })
+	}
+	best := d.selectAmong(s, r, fullGroups, now, func(k sendlimit.Key) bool { return !d.limits.IsLimited(k) || d.limits.MustConfirm(k, now) })
+	if best != nil {
+		return best
+	}
+	return d.selectAmong(s, r, fullGroups, now, func(k sendlimit.Key) bool { return d.limits.IsLimited(k) && d.limits.Allows(k, now) })
+}
+
+// selectAmong returns one of the accepted upstreams with free capacity, or nil. It prefers
+// the upstream with the fewest requests of this entry. Requests of other entries don't
+// count here: they are reported late, and entries that act on the same stale load overload
+// the same upstreams. Full groups are skipped.
+func (d *Dispatcher) selectAmong(s *service, r *Request, fullGroups map[string]bool, now time.Time, accept func(sendlimit.Key) bool) *candidate {
 	anyHealthy := s.hasHealthy(now)
 	var best *candidate
 	ties, minLoad := 0, 0.0
 	for _, c := range s.candidates {
-		if fullGroups[c.Group.Name] || anyHealthy && c.isSlow(now) || !c.isUsable() || now.Before(c.avoidUntil) || slices.Contains(r.TriedUpstreams, c.ID) || !d.hasCapacity(s, c, now) {
+		if fullGroups[c.Group.Name] || anyHealthy && c.isSlow(now) || !c.isUsable() || now.Before(c.avoidUntil) || slices.Contains(r.TriedUpstreams, c.ID) || !d.hasCapacity(s, c, now) || !accept(c.limitKey()) {
 			continue
 		}
 		load := float64(c.ownAttempts.current)
--- a/pkg/dispatch/refuse.go
+++ b/pkg/dispatch/refuse.go
@@ -25,6 +25,9 @@
 	if p := d.serviceRefusal(s, now); p != nil {
 		return p
 	}
+	if p := d.limitRefusal(s, r, now); p != nil {
+		return p
+	}
 	if r.Priority || s.queues.Len() == 0 {
 		return nil
 	}
--- a/pkg/entry/ceilings.go
+++ b/pkg/entry/ceilings.go
@@ -23,12 +23,22 @@
 	listHosts func() []hosts.Host
 	// entryCount returns the number of entry hosts.
 	entryCount func() int
+	// others are further limits that entries share by leases.
+	others []leaseHolder
 
 	mu         sync.Mutex
 	limiter    *ceiling.Limiter
 	allocators *ceiling.Allocators
 }
 
+// leaseHolder holds limits that entries share by leases.
+type leaseHolder interface {
+	// LeaseRequests returns the requests to send to each home now.
+	LeaseRequests(entries []string, now time.Time) ceiling.Batches
+	// ApplyGrants applies a home's grants. Grants of other limits are ignored.
+	ApplyGrants(grants ceiling.BatchResponse, now time.Time)
+}
+
 func newCeilings(name string, burst time.Duration, client *peer.EntryClient, listHosts func() []hosts.Host, entryCount func() int) *ceilings {
 	return &ceilings{
 		name:       name,
@@ -84,6 +94,9 @@
 	c.mu.Lock()
 	requests := c.limiter.LeaseRequests(names, time.Now())
 	c.mu.Unlock()
+	for _, holder := range c.others {
+		requests.Merge(holder.LeaseRequests(names, time.Now()))
+	}
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	for home, r := range requests {
@@ -104,9 +117,13 @@
 }
 
 func (c *ceilings) applyGrants(grants ceiling.BatchResponse) {
+	now := time.Now()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.limiter.ApplyGrants(grants, time.Now())
+	c.limiter.ApplyGrants(grants, now)
+	c.mu.Unlock()
+	for _, holder := range c.others {
+		holder.ApplyGrants(grants, now)
+	}
 }
 
 func (c *ceilings) grantLeases(r *ceiling.BatchRequest) ceiling.BatchResponse {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/freshness"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/route"
+	"github.com/acaciaglade/acaciaglade/pkg/limitexchange"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/operator"
 	"github.com/acaciaglade/acaciaglade/pkg/peer"
@@ -105,6 +106,8 @@
 	Transport attempt.Transport
 	// Guard keeps requests from upstreams that they would end. It may be nil.
 	Guard *crashguard.Guard
+	// Limits exchanges the limits that upstreams name. It may be nil.
+	Limits *limitexchange.Exchange
 	// Agents calls the agents of other hosts.
 	Agents   *peer.AgentClient
 	Registry *prometheus.Registry
@@ -118,8 +121,9 @@
 	fleet     Fleet
 	// peerSync is nil unless the entry relays tables.
 	peerSync *tablestore.PeerSync
-	// guard may be nil.
+	// guard and limits may be nil.
 	guard    *crashguard.Guard
+	limits   *limitexchange.Exchange
 	ceilings *ceilings
 	// chain is the first filter. Each filter calls the next one.
 	chain    pipe.Handler
@@ -155,11 +159,15 @@
 		directory: deps.Directory,
 		fleet:     f,
 		guard:     deps.Guard,
+		limits:    deps.Limits,
 		ceilings:  newCeilings(cfg.Name, cfg.CeilingBurst, client, f.Hosts, f.EntryCount),
 		accounts:  newAccounts(cfg.Name, deps.Agents, f.Hosts, deps.Registry),
 		registry:  deps.Registry,
 		log:       logging.For("entry"),
 	}
+	if holder, ok := f.(leaseHolder); ok {
+		e.ceilings.others = append(e.ceilings.others, holder)
+	}
 	if deps.RelayTables {
 		e.peerSync = tablestore.NewPeerSync(deps.Store, client, f.Hosts)
 	}
@@ -223,6 +231,9 @@
 	if e.guard != nil {
 		e.guard.RegisterPeerRoutes(peers)
 	}
+	if e.limits != nil {
+		e.limits.RegisterPeerRoutes(peers)
+	}
 	e.api.Register(s)
 }
 
@@ -369,5 +380,8 @@
 	if e.guard != nil {
 		go e.guard.Run(ctx)
 	}
+	if e.limits != nil {
+		go e.limits.Run(ctx)
+	}
 	e.fleet.Run(ctx)
 }
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -51,6 +51,8 @@
 	// attempt that it should move to another upstream.
 	moveRequests map[string]chan struct{}
 	loadPoller   *groupLoadPoller
+	// limitChanged may be nil, see OnLimitChange.
+	limitChanged func()
 	// listed are the upstreams that the platform lists, by ID, and groups their groups.
 	listed   map[string]dispatch.Upstream
 	groups   map[string]dispatch.GroupState
--- a/pkg/peer/entry_client.go
+++ b/pkg/peer/entry_client.go
@@ -10,6 +10,7 @@
 
 	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/quarantine"
+	"github.com/acaciaglade/acaciaglade/pkg/sendlimit"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 	"github.com/acaciaglade/acaciaglade/pkg/tablesync"
 )
@@ -21,8 +22,15 @@
 	PathCeilings     = "/v1/ceilings"
 	PathReports      = "/v1/quarantine/reports"
 	PathTrials       = "/v1/quarantine/trials"
+	PathLimits       = "/v1/upstreams/limits"
 )
 
+// LimitExchange carries reports of the limits that upstreams name between two entries. The
+// response has those of the receiver.
+type LimitExchange struct {
+	Reports []sendlimit.Report `json:"reports"`
+}
+
 // ReportExchange carries reports of upstreams that ended between two entries.
 type ReportExchange struct {
 	// Reports are merged by the receiver.
@@ -78,6 +86,13 @@
 	return &reply, err
 }
 
+// ExchangeLimits sends reports of limits to an entry and returns its response.
+func (c *EntryClient) ExchangeLimits(ctx context.Context, address string, r *LimitExchange) (*LimitExchange, error) {
+	var reply LimitExchange
+	err := c.client.call(ctx, c.client.pooled, address+PathLimits, r, &reply)
+	return &reply, err
+}
+
 // RequestTrial requests the trial of a service from an entry, or ends it there.
 func (c *EntryClient) RequestTrial(ctx context.Context, address string, r *TrialRequest) (*TrialReply, error) {
 	var reply TrialReply
