Use the limits of upstreams while requests wait, and show them to operators

Causes: an entry lost what it had saved each time its queue emptied, every idle entry wanted its part to confirm the limit, and leases of idle entries expired before the home could rely on them. Entries may now save four requests in all, only the home confirms a limit every two seconds, and callers that were refused find an allowance when they return as told.

A refusal states when the limits really allow the request: each upstream takes whole requests only, so the parts of several don't add up.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -136,6 +136,15 @@
 	upstreamFault("upstream delays orders", func(f *upstreamFaults, r *rand.Rand) {
 		f.orderDelay = time.Duration(200+r.IntN(2000)) * time.Millisecond
 	}),
+	{"upstream names a limit", func(d *deployment, r *rand.Rand, duration time.Duration) func() {
+		u := randomElement(r, d.upstreams)
+		u.nameLimit(randomElement(r, []float64{0, 0.2, 1, 3}))
+		return func() {
+			// The limit lasts beyond the time that entries have to learn it.
+			time.Sleep(contactTimeout + duration)
+			u.removeLimit()
+		}
+	}},
 	{"upstream crash", func(d *deployment, r *rand.Rand, _ time.Duration) func() {
 		u := randomElement(r, d.upstreams)
 		if !u.isAlive() {
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -58,6 +58,8 @@
 	must(parser.AddCommand("upstream", "Mark an upstream out or in", "Takes an upstream out of service, or returns it to service.", &upstreamCommand{}))
 	must(parser.AddCommand("status", "Show the status of all hosts", "Shows the hosts and upstreams as one entry sees them, and the accounts of the organisations.", &statusCommand{}))
 	must(parser.AddCommand("explain", "Explain a request", "Shows the decisions about a request, with the host and the reason of each.", &explainCommand{}))
+	limit := must(parser.AddCommand("limit", "Work with limits of upstreams", "Shows the limits that upstreams name.", &struct{}{}))
+	must(limit.AddCommand("list", "List the limits", "Lists the upstreams that name a limit of requests per second, and the part of it that an entry may send.", &limitListCommand{}))
 	quarantine := must(parser.AddCommand("quarantine", "Work with quarantined parts of prompts", "Shows and releases parts of prompts that are kept from upstreams.", &struct{}{}))
 	must(quarantine.AddCommand("list", "List the parts", "Lists the parts of prompts that are suspected or quarantined, and why.", &quarantineListCommand{}))
 	must(quarantine.AddCommand("release", "Release a part", "Ends the quarantine of a part at all entries, for example after the model was repaired.", &quarantineReleaseCommand{}))
--- a/pkg/dispatch/limits.go
+++ b/pkg/dispatch/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"sort"
 	"time"
 
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
@@ -12,6 +14,9 @@
 // above maxRetryAfter, as no other entry has more to send.
 const maxLimitRetryAfter = time.Minute
 
+// limitWaitStep is the resolution of predicted waits for limited upstreams.
+const limitWaitStep = 20 * time.Millisecond
+
 // limitReturnTime is how long after the stated time a refused caller is expected back.
 const limitReturnTime = 500 * time.Millisecond
 
@@ -33,71 +38,80 @@
 	return 0
 }
 
-// limitedRate returns the requests per second that this entry may send to a service's
-// upstreams, and how many at once, if all usable ones name a limit.
-func (d *Dispatcher) limitedRate(s *service, now time.Time) (perSecond, available float64, limited bool) {
+// limitPart is what this entry may send to one upstream that names a limit: available
+// requests now, and perSecond more each second.
+type limitPart struct{ perSecond, available float64 }
+
+// limitParts returns what this entry may send to each usable upstream of a service if all of
+// them name limits, and otherwise nil.
+func (d *Dispatcher) limitParts(s *service, now time.Time) []limitPart {
 	if d.limits.IsEmpty() {
-		return 0, 0, false
+		return nil
 	}
+	var parts []limitPart
 	for _, c := range s.candidates {
 		if !c.isUsable() || !c.groupOpen {
 			continue
 		}
 		if !d.limits.IsLimited(c.limitKey()) {
-			return 0, 0, false
+			return nil
 		}
-		rate, level := d.limits.Rate(c.limitKey(), now)
-		perSecond, available, limited = perSecond+rate, available+level, true
+		perSecond, available := d.limits.Rate(c.limitKey(), now)
+		parts = append(parts, limitPart{perSecond, available})
 	}
-	return perSecond, available, limited
+	return parts
 }
 
 // limitRefusal returns the refusal of a request that the limits of all upstreams keep
 // waiting for too long, or nil. A request with priority goes before the others that wait.
 func (d *Dispatcher) limitRefusal(s *service, r *Request, now time.Time) *problem.Problem {
-	perSecond, available, limited := d.limitedRate(s, now)
-	if !limited {
+	parts := d.limitParts(s, now)
+	if len(parts) == 0 {
 		return nil
 	}
 	before := s.queues.Len()
 	if r.Priority {
 		before = 0
 	}
-	wait := limitWait(before, perSecond, available)
+	wait := limitWait(before, parts)
 	if wait <= d.cfg.MaxQueueTime && !now.Add(wait).After(r.Deadline) {
 		return nil
 	}
-	refusal := d.newLimitRefusal(s, wait, perSecond)
+	refusal := d.newLimitRefusal(s, wait, parts)
 	for _, c := range s.candidates {
 		d.limits.Expect(c.limitKey(), now.Add(refusal.RetryAfter+limitReturnTime), now)
 	}
 	return refusal
 }
 
-// limitWait returns how long a request waits that has some others before it.
-func limitWait(before int, perSecond, available float64) time.Duration {
-	missing := float64(before+1) - available
-	if missing <= 0 {
-		return 0
-	}
-	seconds := maxLimitRetryAfter.Seconds()
-	if perSecond > 0 {
-		seconds = min(seconds, missing/perSecond)
-	}
-	return time.Duration(seconds * float64(time.Second))
+// limitWait returns how long a request waits that has some others before it, at most
+// maxLimitRetryAfter. Each upstream takes whole requests only.
+func limitWait(before int, parts []limitPart) time.Duration {
+	steps := sort.Search(int(maxLimitRetryAfter/limitWaitStep), func(n int) bool {
+		at, sum := (time.Duration(n) * limitWaitStep).Seconds(), 0.0
+		for _, p := range parts {
+			sum += math.Floor(p.available + p.perSecond*at)
+		}
+		return sum > float64(before)
+	})
+	return time.Duration(steps) * limitWaitStep
 }
 
 // overloadRefusal returns the refusal of a request that has waited too long.
 func (d *Dispatcher) overloadRefusal(s *service, now time.Time) *problem.Problem {
-	if perSecond, available, limited := d.limitedRate(s, now); limited {
-		return d.newLimitRefusal(s, limitWait(s.queues.Len(), perSecond, available), perSecond)
+	if parts := d.limitParts(s, now); len(parts) > 0 {
+		return d.newLimitRefusal(s, limitWait(s.queues.Len(), parts), parts)
 	}
 	return d.newRefusal(problem.ReasonOverloaded, s.predictWait(now), s.queueDetail(now))
 }
 
 // newLimitRefusal returns a refusal with the time until the upstreams take the request. It
 // is lengthened at random, so that callers that are refused together don't return together.
-func (d *Dispatcher) newLimitRefusal(s *service, wait time.Duration, perSecond float64) *problem.Problem {
+func (d *Dispatcher) newLimitRefusal(s *service, wait time.Duration, parts []limitPart) *problem.Problem {
+	perSecond := 0.0
+	for _, p := range parts {
+		perSecond += p.perSecond
+	}
 	wait = max(minRetryAfter, wait)
 	spread := 1 + retryAfterJitter*d.rand.Float64()
 	detail := fmt.Sprintf("%d requests wait, and all upstreams name limits, of which this entry may use %.2f requests per second; predicted wait %d ms",
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -179,6 +179,9 @@
 		cfg.Attempt.Guard = deps.Guard
 		operatorConfig.Quarantine = deps.Guard
 	}
+	if limits, ok := f.(operator.Limits); ok {
+		operatorConfig.Limits = limits
+	}
 	e.api = operator.New(operatorConfig, deps.Store, f, client, deps.Agents)
 	deps.Store.RegisterMetrics(deps.Registry)
 	e.chain = attempt.New(cfg.Attempt, f, deps.Transport, deps.Registry)
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -43,6 +43,8 @@
 	Directory Directory
 	// Quarantine provides the parts of prompts that are kept from upstreams. It may be nil.
 	Quarantine Quarantine
+	// Limits provides the limits that upstreams name. It may be nil.
+	Limits Limits
 }
 
 // Directory holds the current table.
@@ -80,6 +82,7 @@
 	g.PUT("/failure-domains/:name/:mark", a.markFailureDomain)
 	g.PUT("/upstreams/:name/:mark", a.markUpstream)
 	g.GET("/status", a.getStatus)
+	g.GET("/limits", a.getLimits)
 	g.GET("/quarantine", a.getQuarantine)
 	g.DELETE("/quarantine/:service/:part", a.releasePart)
 	a.registerAccounts(g)
--- a/pkg/sendlimit/doc.go
+++ b/pkg/sendlimit/doc.go
@@ -10,9 +10,9 @@
 // Parts. The entries share a limit by leases of rates (package ceiling): the rates of all of
 // them never sum to more than the limit, also while some can't reach each other, and an
 // entry that has no use for its part lends it. An entry's allowance for an upstream grows at
-// its rate while requests want the upstream. It holds a single request, or a tenth of a
-// second's rate, so that all entries together send little more than the limit in any
-// period. A limit far below one request per second is shared in the same way: each entry
+// its rate. It holds a single request, or a tenth of a second's rate, and less than that
+// while nothing wants the upstream, so that all entries together send little more than the
+// limit in any period, also when many become busy at once. A limit far below one request per second is shared in the same way: each entry
 // then sends a request every so many seconds, at times that are drawn at random.
 //
 // Use. A dispatcher prefers upstreams without a limit. It sends requests to a limited one
--- a/pkg/sendlimit/record.go
+++ b/pkg/sendlimit/record.go
@@ -31,10 +31,10 @@
 	since time.Time
 	// sentAt and receivedAt are the times of the latest response known.
 	sentAt, receivedAt time.Time
-	// allowance is this entry's part of the limit, requestedAt when it was last requested
-	// from the home.
-	allowance   *allowance
-	requestedAt time.Time
+	// allowance is this entry's part of the limit.
+	allowance *allowance
+	// isHome is true if this entry grants the leases of the limit.
+	isHome bool
 	// unlistedAt is when the upstream was first missing from the platform's list, zero
 	// while it is listed.
 	unlistedAt time.Time
@@ -65,6 +65,3 @@
 
 // effectiveRate returns the requests per second that all entries together send.
 func (r *record) effectiveRate() float64 { return max(minRate, r.rate) }
-
-// isUnconfirmed reports whether no response has named the limit for some time.
-func (r *record) isUnconfirmed(now time.Time) bool { return now.Sub(r.receivedAt) > confirmInterval }
--- a/pkg/sendlimit/table.go
+++ b/pkg/sendlimit/table.go
@@ -19,18 +19,20 @@
 	endedTime = 30 * time.Second
 	// maxRecords limits the records of upstreams that the platform doesn't list.
 	maxRecords = 10_000
-	// confirmInterval is the time after which a request is sent to a limited upstream even if
-	// others have room: only its responses tell that the limit has ended.
-	confirmInterval = 2 * time.Second
+	// confirmInterval is the time after which the home of a limit sends a request to the
+	// upstream even if others have room: only responses tell that the limit has ended. Other
+	// entries do so after otherConfirmInterval, in case the home can't reach the upstream.
+	confirmInterval      = 2 * time.Second
+	otherConfirmInterval = 30 * time.Second
 	// minRate is the lowest rate in requests per second over all entries. Less, also a limit
 	// of 0, would leave the end of a limit unnoticed.
 	minRate = 0.1
 	// waitingTime is how long a request that waits wants an upstream. The dispatcher looks
 	// for upstreams again each 20 ms.
 	waitingTime = 100 * time.Millisecond
-	// idleRequestInterval is the time between two lease requests for an upstream that this
-	// entry has no use for. What it lends expires after ceiling.LeaseDuration.
-	idleRequestInterval = 750 * time.Millisecond
+	// maxSaved is the number of requests that all entries together may have saved for an
+	// upstream while it wasn't wanted.
+	maxSaved = 4.0
 )
 
 // Table holds an entry's knowledge of the limits of all upstreams, and this entry's part of
@@ -83,6 +85,9 @@
 	}
 }
 
+// saved returns the part of a request that an idle entry may save for an upstream.
+func (t *Table) saved() float64 { return min(1, maxSaved/float64(max(1, t.entries))) }
+
 // SetListed applies the platform's list of upstreams. Limits of upstreams that have been
 // missing for unlistedTime are removed.
 func (t *Table) SetListed(listed map[Key]bool, now time.Time) {
@@ -109,11 +114,22 @@
 // IsLimited reports whether an upstream names a limit.
 func (t *Table) IsLimited(key Key) bool { return t.limited(key) != nil }
 
+// isUnconfirmed reports whether no response has named the limit for so long that this entry
+// should send a request to find out. A limit far below one request per second is left to
+// requests that need it.
+func (t *Table) isUnconfirmed(r *record, now time.Time) bool {
+	interval, perSecond := confirmInterval, r.effectiveRate()
+	if !r.isHome {
+		interval, perSecond = otherConfirmInterval, perSecond/float64(2*max(1, t.entries))
+	}
+	return now.Sub(r.receivedAt) > max(interval, time.Duration(float64(time.Second)/perSecond))
+}
+
 // MustConfirm reports whether a request should be sent to a limited upstream, even if others
 // have room, to find out whether the limit still applies, and may be sent.
 func (t *Table) MustConfirm(key Key, now time.Time) bool {
 	r := t.limited(key)
-	return r != nil && r.isUnconfirmed(now) && r.allowance.allows()
+	return r != nil && t.isUnconfirmed(r, now) && r.allowance.allows()
 }
 
 // Allows reports whether this entry may send a request to a limited upstream that a waiting
@@ -123,8 +139,8 @@
 	if r == nil {
 		return true
 	}
-	r.allowance.want(now.Add(waitingTime), t.random, now)
-	r.allowance.advance(r.effectiveRate(), now)
+	r.allowance.want(now.Add(waitingTime), t.saved(), t.random, now)
+	r.allowance.advance(r.effectiveRate(), t.saved(), now)
 	return r.allowance.allows()
 }
 
@@ -132,7 +148,7 @@
 // for it.
 func (t *Table) Expect(key Key, until, now time.Time) {
 	if r := t.limited(key); r != nil {
-		r.allowance.want(until, t.random, now)
+		r.allowance.want(until, t.saved(), t.random, now)
 	}
 }
 
@@ -160,10 +176,8 @@
 		if !r.limited {
 			continue
 		}
-		if r.isUnconfirmed(now) {
-			r.allowance.want(now.Add(waitingTime), t.random, now)
-		}
-		r.allowance.advance(r.effectiveRate(), now)
+		r.allowance.confirming = t.isUnconfirmed(r, now)
+		r.allowance.advance(r.effectiveRate(), t.saved(), now)
 	}
 }
 
@@ -186,10 +200,7 @@
 			continue
 		}
 		t.setBase(r)
-		if r.allowance.isIdle(now) && now.Sub(r.requestedAt) < idleRequestInterval {
-			continue
-		}
-		r.requestedAt = now
+		r.isHome = ceiling.HomeEntry(key.leaseName(), entries) == t.entry
 		batches.Add(ceiling.BatchItem{LeaseRequest: r.allowance.NextRequest(key.leaseName(), t.entry, now), Ceiling: r.effectiveRate()}, entries)
 	}
 	return batches
