Reproduce a time without service after the store has come back from a copy

The simulated store of the soak can copy its objects and come back from a copy, in a new era, with the revisions given out again.

--- a/lab/platformstore/platformstore.go
+++ b/lab/platformstore/platformstore.go
@@ -1,10 +1,12 @@
 // Package platformstore simulates the platform's store: objects by kind and name with
 // one revision counter, paged lists, watches by long polling, and conditional writes.
-// It can refuse calls, drop responses, delay writes and drop its history.
+// It can refuse calls, drop responses, delay writes, drop its history and come back from a
+// copy.
 package platformstore
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -57,7 +59,9 @@
 // Store simulates the platform's store. It is an http.Handler and safe for concurrent
 // use.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is the number of the store's history. It rises at each restore.
+	era      uint64
 	revision uint64
 	kinds    map[string]map[string]Object
 	history  []change
@@ -71,7 +75,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{revision: 1, kinds: make(map[string]map[string]Object), changed: make(chan struct{})}
+	return &Store{era: 1, revision: 1, kinds: make(map[string]map[string]Object), changed: make(chan struct{})}
 }
 
 // SetFaults replaces the current faults.
@@ -90,6 +94,39 @@
 	s.notifyWatches()
 }
 
+// Copy is a copy of a store's objects.
+type Copy struct {
+	revision uint64
+	kinds    map[string]map[string]Object
+}
+
+// Copy returns a copy of the objects.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{revision: s.revision, kinds: cloneKinds(s.kinds)}
+}
+
+func cloneKinds(kinds map[string]map[string]Object) map[string]map[string]Object {
+	out := make(map[string]map[string]Object, len(kinds))
+	for kind, objects := range kinds {
+		out[kind] = maps.Clone(objects)
+	}
+	return out
+}
+
+// Restore replaces the objects by those of a copy. The changes since the copy are lost, and
+// their revisions are given out again. Waiting watches are cut off.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.kinds = c.revision, cloneKinds(c.kinds)
+	s.history = slices.DeleteFunc(s.history, func(h change) bool { return h.revision > c.revision })
+	s.droppedRevision = min(s.droppedRevision, c.revision)
+	s.notifyWatches()
+}
+
 // Calls returns the number of HTTP calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -158,6 +195,7 @@
 	s.mu.Lock()
 	s.calls++
 	faults := s.faults
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	time.Sleep(faults.Delay)
 	path, ok := strings.CutPrefix(r.URL.Path, "/objects/")
@@ -233,10 +271,17 @@
 	from, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	timeout := time.After(min(maxWait, time.Duration(wait)*time.Millisecond))
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		changed, revision := s.changed, s.revision
-		if from < s.droppedRevision {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if from < s.droppedRevision || from > revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -83,6 +83,8 @@
 	stop         chan struct{}
 	// version is the version of the current configuration.
 	version int
+	// config is the current configuration.
+	config map[string]any
 
 	mu sync.Mutex
 	// keys holds the current key of each organisation.
@@ -232,6 +234,7 @@
 		keys[organisation] = key
 	}
 	spec := d.buildConfig(service, keys)
+	d.config = spec
 	d.mu.Unlock()
 	if err := d.store.Put("config", "main", spec); err != nil {
 		return errors.WithStack(err)
