Go on in the new history of a store that has come back from a copy

Cause: revisions were compared across the histories of the store. A copy has lower ones, so lists of config, servers, evacuations and hosts were refused as late answers until the revision had caught up; watches that waited at a revision of the old history went on in the new one and missed what was written below it.

What is known from before counts for a short time: upstreams and evacuations that the copy lacks stay, those that were removed stay away, older states of upstreams don't replace newer ones, and draining is final. A configuration confirms keys only if it isn't older than the one in force and was certainly written in the new era, or 0.5 s after the restore.

--- a/pkg/crashguard/store.go
+++ b/pkg/crashguard/store.go
@@ -105,6 +105,9 @@
 	case objects.Bookmark:
 		g.recordSynced()
 		return
+	case objects.Restored:
+		// What the copy lacks follows as deleted.
+		return
 	case objects.Deleted:
 		g.stored.remove(name)
 		g.wakeStore()
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -31,7 +31,13 @@
 	operatorTable    *table.Table
 	index            *table.Index
 	confirmedAt      clock.BootTime
-	listeners        []func(*table.Index)
+	// stored is where the current configuration was last seen in the store, and confirmedEra
+	// the newest era in which it was confirmed. unsettledEra is a newer one, seen at
+	// unsettledAt.
+	stored                     StoredVersion
+	confirmedEra, unsettledEra uint64
+	unsettledAt                clock.BootTime
+	listeners                  []func(*table.Index)
 }
 
 // New returns an empty directory.
@@ -60,31 +66,90 @@
 	return d.platformTable
 }
 
-// Confirm records that the current configuration was the newest at sentAt, when the request
-// that confirmed it was sent.
-func (d *Directory) Confirm(sentAt clock.BootTime) {
+// StoredVersion is a version of the configuration and where the store has it.
+type StoredVersion struct {
+	// Era is the number of the store's history, Revision that of the configuration's last
+	// change in it.
+	Era, Revision uint64
+	Version       uint64
+	// Written is true if the store has reported the change in this era, so that it is not
+	// from a copy.
+	Written bool
+}
+
+// SettleTime is how long after the store has come back from a copy the configuration in the
+// copy does not count as the newest: the operators write a newer one again meanwhile.
+const SettleTime = 500 * time.Millisecond
+
+// IsSettled reports whether the newest era's configuration counts as the newest.
+func (d *Directory) IsSettled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unsettledEra <= d.confirmedEra
+}
+
+// isNewest reports whether the store's configuration was the newest when it was read at
+// sentAt. After a restore the copy may lack the newest one: it counts only if the operators
+// have certainly written it in this era, or have had the time to.
+func (d *Directory) isNewest(v StoredVersion, sentAt clock.BootTime) bool {
+	if d.platformTable == nil {
+		d.confirmedEra, d.unsettledEra = v.Era, v.Era
+	}
+	if v.Era > d.unsettledEra {
+		d.unsettledEra, d.unsettledAt = v.Era, sentAt
+	}
+	switch {
+	case d.platformTable != nil && v.Version < d.platformTable.Version:
+		return false
+	case v.Era == d.confirmedEra:
+		return true
+	}
+	// In the copy, the version would have the revision under which it was known.
+	rewritten := v.Version == d.stored.Version && v.Revision != d.stored.Revision
+	if !v.Written && !rewritten && sentAt < d.unsettledAt+clock.BootTime(SettleTime) {
+		return false
+	}
+	d.confirmedEra = v.Era
+	return true
+}
+
+// Confirm records that the store had a version of the configuration at sentAt, when the
+// request that confirmed it was sent.
+func (d *Directory) Confirm(v StoredVersion, sentAt clock.BootTime) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.confirm(v, sentAt)
+}
+
+// confirm records that the current configuration was the newest at sentAt, if it was. The
+// caller holds the lock.
+func (d *Directory) confirm(v StoredVersion, sentAt clock.BootTime) {
+	if !d.isNewest(v, sentAt) {
+		return
+	}
+	d.stored = v
 	d.confirmedAt = max(d.confirmedAt, sentAt)
 }
 
-// SetPlatformTable applies the platform's configuration, which was the newest at sentAt, when
+// SetPlatformTable applies the platform's configuration, which the store had at sentAt, when
 // the request for it was sent. A version older than the current one is ignored.
-func (d *Directory) SetPlatformTable(platformTable *table.Table, sentAt clock.BootTime) {
+func (d *Directory) SetPlatformTable(platformTable *table.Table, v StoredVersion, sentAt clock.BootTime) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.platformTable != nil && platformTable.Version < d.platformTable.Version {
-		d.log.WithFields(logrus.Fields{"version": platformTable.Version, "in_force": d.platformTable.Version}).Warn("configuration older than the current one ignored")
+		d.log.WithFields(logrus.Fields{"version": platformTable.Version, "in_force": d.platformTable.Version, "era": v.Era}).Warn("configuration older than the current one ignored")
+		d.confirm(v, sentAt)
 		return
 	}
-	d.confirmedAt = max(d.confirmedAt, sentAt)
+	v.Version = platformTable.Version
+	d.confirm(v, sentAt)
 	if d.platformTable != nil && platformTable.Version == d.platformTable.Version {
 		return
 	}
 	d.platformTable = platformTable
 	d.log.WithFields(logrus.Fields{
 		"version": platformTable.Version, "routes": len(platformTable.Routes), "services": len(platformTable.Services),
-		"organisations": len(platformTable.Organisations), "keys": len(platformTable.Keys),
+		"organisations": len(platformTable.Organisations), "keys": len(platformTable.Keys), "era": v.Era,
 	}).Info("configuration updated")
 	d.rebuild()
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -20,7 +20,7 @@
 // of the configuration missing.
 func TestNoTableBeforeAllPartsAreKnown(t *testing.T) {
 	d := New()
-	d.SetPlatformTable(platformTable(4), clock.BootNow())
+	d.SetPlatformTable(platformTable(4), StoredVersion{}, clock.BootNow())
 	if ix, _ := d.Index(); ix != nil {
 		t.Fatal("there is a table before the evacuations are known")
 	}
@@ -36,8 +36,8 @@
 	d := New()
 	d.SetEvacuated(nil)
 	confirmedAt := clock.BootNow() - clock.BootTime(time.Minute)
-	d.SetPlatformTable(platformTable(4), confirmedAt)
-	d.SetPlatformTable(platformTable(3), clock.BootNow())
+	d.SetPlatformTable(platformTable(4), StoredVersion{}, confirmedAt)
+	d.SetPlatformTable(platformTable(3), StoredVersion{Version: 3}, clock.BootNow())
 	ix, age := d.Index()
 	if ix.Table().Version != 4 || age < time.Minute {
 		t.Errorf("version %d with a validation age of %v, want version 4 and at least a minute", ix.Table().Version, age)
@@ -50,9 +50,9 @@
 	d := New()
 	d.SetEvacuated(nil)
 	now := clock.BootNow()
-	d.SetPlatformTable(platformTable(4), now-clock.BootTime(3*time.Second))
-	d.Confirm(now - clock.BootTime(time.Second))
-	d.Confirm(now - clock.BootTime(2*time.Second))
+	d.SetPlatformTable(platformTable(4), StoredVersion{}, now-clock.BootTime(3*time.Second))
+	d.Confirm(StoredVersion{Version: 4}, now-clock.BootTime(time.Second))
+	d.Confirm(StoredVersion{Version: 4}, now-clock.BootTime(2*time.Second))
 	if _, age := d.Index(); age < time.Second || age > 2*time.Second {
 		t.Errorf("validation age is %v, want between 1 s and 2 s", age)
 	}
@@ -62,7 +62,7 @@
 // added to the platform's configuration.
 func TestOperatorTableIsMerged(t *testing.T) {
 	d := New()
-	d.SetPlatformTable(platformTable(4), clock.BootNow())
+	d.SetPlatformTable(platformTable(4), StoredVersion{}, clock.BootNow())
 	d.SetEvacuated([]string{"north"})
 	calls := 0
 	d.Subscribe(func(*table.Index) { calls++ })
@@ -83,3 +83,33 @@
 		t.Errorf("the evacuation still applies, or the subscriber was called %d times, want 2", calls)
 	}
 }
+
+// TestCopyDoesNotConfirm guards against keys that count as confirmed by a copy from which the
+// store has come back, although the copy may lack the version that revokes them.
+func TestCopyDoesNotConfirm(t *testing.T) {
+	const second = clock.BootTime(time.Second)
+	now := clock.BootNow()
+	for _, c := range []struct {
+		name      string
+		stored    StoredVersion
+		sentAt    clock.BootTime
+		confirmed bool
+	}{
+		{"older version", StoredVersion{Era: 2, Revision: 30, Version: 3}, now - second, false},
+		{"older version later", StoredVersion{Era: 2, Revision: 30, Version: 3}, now, false},
+		{"version as in the copy", StoredVersion{Era: 2, Revision: 40, Version: 4}, now - second, false},
+		{"version as in the copy, once the operators had the time to write", StoredVersion{Era: 2, Revision: 40, Version: 4}, now, true},
+		{"version written again", StoredVersion{Era: 2, Revision: 39, Version: 4}, now - second, true},
+		{"newer version, perhaps of the copy", StoredVersion{Era: 2, Revision: 38, Version: 5}, now - second, false},
+		{"newer version, written in this era", StoredVersion{Era: 2, Revision: 41, Version: 5, Written: true}, now - second, true},
+	} {
+		d := New()
+		d.SetEvacuated(nil)
+		d.SetPlatformTable(platformTable(4), StoredVersion{Era: 1, Revision: 40}, now-60*second)
+		d.SetPlatformTable(platformTable(c.stored.Version), c.stored, min(c.sentAt, now-second))
+		d.Confirm(c.stored, c.sentAt)
+		if _, age := d.Index(); (age < 30*time.Second) != c.confirmed || d.IsSettled() != c.confirmed {
+			t.Errorf("%s: validation age %v, settled %v", c.name, age, d.IsSettled())
+		}
+	}
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -207,6 +207,8 @@
 		if !ok || c.Incarnation != u.Incarnation || c.Address != u.Address {
 			c = &candidate{recentSends: recent.New(sendWindow)}
 		}
+		// Draining is final: a list that lacks it is older.
+		u.Draining = u.Draining || c.Draining
 		if c.Group.Epoch != u.Group.Epoch {
 			// The group was formed again and may accept work.
 			s.passes.stoppedAt = time.Time{}
--- a/pkg/objects/objects.go
+++ b/pkg/objects/objects.go
@@ -54,6 +54,9 @@
 	// Bookmark marks the end of the current objects at the start of a watch. Its object
 	// has no name.
 	Bookmark = "BOOKMARK"
+	// Restored states that the store has come back from a copy, so that its latest changes
+	// are lost. The current objects follow. Its object has no name.
+	Restored = "RESTORED"
 )
 
 // Event is one line of a watch stream.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -86,13 +86,15 @@
 func (r *Roster) apply(e objects.Event) {
 	now := time.Now()
 	r.mu.Lock()
-	if e.Type == objects.Bookmark {
+	if e.Type == objects.Restored {
+		r.view.MarkRestored(now)
+	} else if e.Type == objects.Bookmark {
 		r.view.MarkListed()
 	} else if err := r.view.Apply(e, now); err != nil {
 		r.log.WithError(err).Warn("registration can't be decoded; it still counts as a host")
 	}
 	list := r.view.Hosts(now)
-	removed := r.view.complete && r.view.ResourceVersion(r.name) == ""
+	removed := r.view.complete && (e.Type == objects.Restored || r.view.ResourceVersion(r.name) == "")
 	r.mu.Unlock()
 	if removed {
 		select {
@@ -125,24 +127,28 @@
 	}
 }
 
-// write creates the registration, or replaces one of an earlier incarnation.
+// write creates the registration, or replaces one of an earlier incarnation or of a copy
+// from which the store has come back.
 func (r *Roster) write(ctx context.Context) error {
 	r.own.Renewals++
 	r.mu.Lock()
 	version := r.view.ResourceVersion(r.name)
 	r.mu.Unlock()
-	if version == "" {
-		_, err := r.store.Create(ctx, Kind, r.name, r.own)
-		if !errors.Is(err, objects.ErrExists) {
+	if version != "" {
+		_, err := r.store.Update(ctx, Kind, r.name, version, r.own)
+		if !errors.Is(err, objects.ErrConflict) && !errors.Is(err, objects.ErrNotFound) {
 			return r.logRegistered(err)
 		}
-		o, err := r.store.Get(ctx, Kind, r.name)
-		if err != nil {
-			return err
-		}
-		version = o.Metadata.ResourceVersion
 	}
-	_, err := r.store.Update(ctx, Kind, r.name, version, r.own)
+	_, err := r.store.Create(ctx, Kind, r.name, r.own)
+	if !errors.Is(err, objects.ErrExists) {
+		return r.logRegistered(err)
+	}
+	o, err := r.store.Get(ctx, Kind, r.name)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Update(ctx, Kind, r.name, o.Metadata.ResourceVersion, r.own)
 	return r.logRegistered(err)
 }
 
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -20,6 +20,9 @@
 	renewInterval = 5 * time.Minute
 	// expireAfter is the time after which a registration without renewal expires.
 	expireAfter = 3 * renewInterval
+	// reregisterTime is how long a host counts whose registration was lost because the store
+	// has come back from a copy. Hosts that can reach the store register again at once.
+	reregisterTime = 10 * time.Second
 )
 
 // Reserve of the limit divisor, for hosts that started while this one can't read the
@@ -50,6 +53,8 @@
 	// complete is true once all registrations have been read.
 	complete bool
 	hosts    map[string]*member
+	// restoredAt is when the store last came back from a copy.
+	restoredAt time.Time
 }
 
 type member struct {
@@ -57,8 +62,19 @@
 	version string
 	// renewedAt is when the last change of the registration was observed.
 	renewedAt time.Time
+	// lostAt is when the store came back from a copy without the registration. It is zero
+	// while the registration is stored.
+	lostAt time.Time
 }
 
+// counts reports whether the registration has neither expired nor been lost for too long.
+func (m *member) counts(now time.Time) bool {
+	return now.Sub(m.renewedAt) <= expireAfter && (m.lostAt.IsZero() || now.Sub(m.lostAt) < reregisterTime)
+}
+
+// MarkRestored records that the store has come back from a copy.
+func (v *View) MarkRestored(now time.Time) { v.restoredAt = now }
+
 // NewView returns a host's view without registrations.
 func NewView(name string) *View { return &View{name: name, hosts: make(map[string]*member)} }
 
@@ -67,6 +83,11 @@
 func (v *View) Apply(e objects.Event, now time.Time) error {
 	name := e.Object.Metadata.Name
 	if e.Type == objects.Deleted {
+		if m := v.hosts[name]; m != nil && now.Sub(v.restoredAt) < reregisterTime {
+			// The copy lacks it. The host still counts until it had the time to register again.
+			m.lostAt = now
+			return nil
+		}
 		delete(v.hosts, name)
 		return nil
 	}
@@ -83,7 +104,7 @@
 
 // ResourceVersion returns the version of a host's registration, or "" when it has none.
 func (v *View) ResourceVersion(name string) string {
-	if m := v.hosts[name]; m != nil {
+	if m := v.hosts[name]; m != nil && m.lostAt.IsZero() {
 		return m.version
 	}
 	return ""
@@ -106,7 +127,11 @@
 func (v *View) Hosts(now time.Time) []hosts.Host {
 	var list []hosts.Host
 	for name, m := range v.hosts {
-		if now.Sub(m.renewedAt) <= expireAfter {
+		if !m.lostAt.IsZero() && !m.counts(now) {
+			delete(v.hosts, name)
+			continue
+		}
+		if m.counts(now) {
 			list = append(list, hosts.Host{Name: name, Role: m.Role, FailureDomain: m.FailureDomain, Address: m.Address})
 		}
 	}
@@ -124,7 +149,7 @@
 	}
 	n := 0
 	for name, m := range v.hosts {
-		if name == v.name || now.Sub(m.renewedAt) <= expireAfter {
+		if name == v.name || m.counts(now) {
 			n++
 		}
 	}
--- a/pkg/tablestore/platform.go
+++ b/pkg/tablestore/platform.go
@@ -46,6 +46,10 @@
 	err := s.objects.Watch(ctx, HeadKind, func(e objects.Event) {
 		onEvent()
 		s.recordPlatformCall(nil)
+		if e.Type == objects.Restored {
+			go s.restoreStored(ctx)
+			return
+		}
 		if err := s.applyObject(ctx, e.Object); err != nil {
 			s.log.WithError(err).Warn("table version could not be read, reopening the watch")
 			cancel()
