--- a/pkg/storehistory/objects.go
+++ b/pkg/storehistory/objects.go
@@ -92,7 +92,7 @@
 	if restored := p.Era > o.position.Era && o.position != (Position{}); restored {
 		o.beginEra(items, now)
 	} else {
-		for name, item := range o.items {
+		for name, item := range o.current(now) {
 			if _, ok := items[name]; !ok {
 				o.recordRemoval(name, item, now)
 			}
@@ -113,12 +113,18 @@
 		if _, known := o.kept[name]; known || !ok || now.Sub(r.at) > removedTime {
 			continue
 		}
-		// An object that was written again after its removal has a newer state.
-		newer := item.Revision > r.item.Revision || o.policy.IsOlder != nil && o.policy.IsOlder(item.Raw, r.item.Raw)
-		o.hidden[name] = !newer
+		o.hidden[name] = !o.isNewerThanRemoved(item, r.item)
 	}
 }
 
+// isNewerThanRemoved reports whether an object was written again after it was removed.
+func (o *Objects) isNewerThanRemoved(listed, removed Item) bool {
+	if o.policy.IsOlder != nil {
+		return o.policy.IsOlder(listed.Raw, removed.Raw)
+	}
+	return listed.Revision > removed.Revision
+}
+
 // recordRemoval remembers that an object was removed.
 func (o *Objects) recordRemoval(name string, item Item, now time.Time) {
 	if o.policy.HideRemoved == 0 {
@@ -132,6 +138,9 @@
 			delete(o.removed, other)
 		}
 	}
+	if r, ok := o.removed[name]; ok && !o.isNewerThanRemoved(item, r.item) {
+		item = r.item
+	}
 	o.removed[name] = removal{at: now, item: item}
 }
 
@@ -141,18 +150,20 @@
 	if !o.listed || from.Era != o.position.Era || to.Era != from.Era {
 		return false
 	}
+	known := o.current(now)
 	for _, e := range events {
+		if item, ok := known[e.Name]; ok && e.Removed {
+			o.recordRemoval(e.Name, item, now)
+		}
 		// What is written in the new era counts at once.
 		delete(o.kept, e.Name)
 		delete(o.hidden, e.Name)
-		if !e.Removed {
-			o.items[e.Name] = e.Item
+		if e.Removed {
+			delete(o.items, e.Name)
+			delete(known, e.Name)
 			continue
 		}
-		if item, ok := o.items[e.Name]; ok {
-			o.recordRemoval(e.Name, item, now)
-		}
-		delete(o.items, e.Name)
+		o.items[e.Name], known[e.Name] = e.Item, e.Item
 	}
 	o.position.Revision = max(o.position.Revision, to.Revision)
 	return true
@@ -193,6 +204,11 @@
 func (o *Objects) Settle(now time.Time) bool {
 	settled := false
 	if len(o.kept) > 0 && !now.Before(o.keepUntil) {
+		for name, item := range o.kept {
+			if _, ok := o.items[name]; !ok {
+				o.recordRemoval(name, item, now)
+			}
+		}
 		o.kept, settled = nil, true
 	}
 	if len(o.hidden) > 0 && !now.Before(o.hideUntil) {
