Let entries that start ask their neighbours for the configuration in force

An entry that started while the store had come back from a copy took the copy for the newest: it had nothing to compare it with, and could accept revoked keys and serve an evacuated failure domain. It now asks the other entries (package directory) and holds its table back until one has answered that knows a configuration, or all have, for 0.6 s at most. Entries also ask after a restore: a version that any of them knows to be replaced is neither applied nor confirmed.

The soak can bring the store back from a copy.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -117,6 +117,17 @@
 	storeFault("store slow", func(r *rand.Rand) platformstore.Faults {
 		return platformstore.Faults{Delay: time.Duration(r.IntN(400)) * time.Millisecond}
 	}),
+	{"store restored from a copy", func(d *deployment, _ *rand.Rand, duration time.Duration) func() {
+		objects := d.store.Copy()
+		return func() {
+			// What was written meanwhile is lost.
+			d.markEntriesFaulty(restoreOutage)
+			d.store.SetFaults(platformstore.Faults{Down: true})
+			time.Sleep(restoreOutage)
+			d.store.SetFaults(platformstore.Faults{})
+			d.restoreStore(objects)
+		}
+	}},
 	{"store drops history", func(d *deployment, _ *rand.Rand, _ time.Duration) func() {
 		d.store.DropHistory()
 		return nil
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -20,6 +20,10 @@
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
+// EvacuationReturnTime is how long evacuations count as they were before the store came back
+// from a copy, unless they are written again. It is the time within which they must apply.
+const EvacuationReturnTime = 5 * time.Second
+
 // Directory holds the current table. It is safe for concurrent use.
 type Directory struct {
 	log *logrus.Entry
@@ -37,7 +41,13 @@
 	stored                     StoredVersion
 	confirmedEra, unsettledEra uint64
 	unsettledAt                clock.BootTime
-	listeners                  []func(*table.Index)
+	// awaiting is true while the entry waits for what other entries know, minVersion the
+	// newest version that one of them knows, and keptEvacuated the failure domains that one
+	// knows to be evacuated although the copy lacks it.
+	awaiting      bool
+	minVersion    uint64
+	keptEvacuated []string
+	listeners     []func(*table.Index)
 }
 
 // New returns an empty directory.
@@ -99,7 +109,7 @@
 		d.unsettledEra, d.unsettledAt = v.Era, sentAt
 	}
 	switch {
-	case d.platformTable != nil && v.Version < d.platformTable.Version:
+	case v.Version < d.minVersion, d.platformTable != nil && v.Version < d.platformTable.Version:
 		return false
 	case v.Era == d.confirmedEra:
 		return true
@@ -136,8 +146,8 @@
 func (d *Directory) SetPlatformTable(platformTable *table.Table, v StoredVersion, sentAt clock.BootTime) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.platformTable != nil && platformTable.Version < d.platformTable.Version {
-		d.log.WithFields(logrus.Fields{"version": platformTable.Version, "in_force": d.platformTable.Version, "era": v.Era}).Warn("configuration older than the current one ignored")
+	if inForce := max(d.minVersion, d.version()); platformTable.Version < inForce {
+		d.log.WithFields(logrus.Fields{"version": platformTable.Version, "in_force": inForce, "era": v.Era}).Warn("configuration older than the current one ignored")
 		d.confirm(v, sentAt)
 		return
 	}
@@ -175,13 +185,23 @@
 	d.rebuild()
 }
 
+// version returns the version of the current configuration, 0 for none. The caller holds the
+// lock.
+func (d *Directory) version() uint64 {
+	if d.platformTable == nil {
+		return 0
+	}
+	return d.platformTable.Version
+}
+
 // rebuild rebuilds the index once all required parts are known, and calls the listeners.
 // The caller holds the lock.
 func (d *Directory) rebuild() {
-	if d.platformTable == nil || !d.evacuationsKnown {
+	if d.platformTable == nil || !d.evacuationsKnown || d.awaiting {
 		return
 	}
-	d.index = table.NewIndex(mergeTables(d.platformTable, d.evacuated, d.operatorTable))
+	evacuated := slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(d.evacuated), d.keptEvacuated...))))
+	d.index = table.NewIndex(mergeTables(d.platformTable, evacuated, d.operatorTable))
 	for _, fn := range d.listeners {
 		fn(d.index)
 	}
--- /dev/null
+++ b/pkg/directory/neighbours_test.go
@@ -0,0 +1,86 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/clock"
+	"github.com/acaciaglade/acaciaglade/pkg/hosts"
+	"github.com/acaciaglade/acaciaglade/pkg/table"
+)
+
+// neighboursOf returns the neighbours of an entry, with an answer of each.
+func neighboursOf(d *Directory, answers map[string]func() (Knowledge, error)) *Neighbours {
+	list := []hosts.Host{{Name: "own", Role: hosts.RoleEntry, Address: "own"}}
+	for name := range answers {
+		list = append(list, hosts.Host{Name: name, Role: hosts.RoleEntry, Address: name})
+	}
+	return &Neighbours{
+		Directory: d, Entry: "own", Hosts: func() []hosts.Host { return list },
+		Ask: func(_ context.Context, address string) (Knowledge, error) { return answers[address]() },
+	}
+}
+
+func answer(k Knowledge) func() (Knowledge, error) {
+	return func() (Knowledge, error) { return k, nil }
+}
+
+func noAnswer() (Knowledge, error) { return Knowledge{}, errors.New("unreachable") }
+
+// TestStartingEntryServesNothingOlderThanItsNeighbours guards against an entry that starts
+// after the store has come back from a copy, and serves by a configuration and without an
+// evacuation that its neighbours know to be replaced.
+func TestStartingEntryServesNothingOlderThanItsNeighbours(t *testing.T) {
+	d := New()
+	d.AwaitNeighbours()
+	d.SetEvacuated(nil)
+	d.SetPlatformTable(platformTable(4), StoredVersion{Era: 2}, clock.BootNow())
+	if ix, _ := d.Index(); ix != nil {
+		t.Fatal("there is a table before the neighbours were asked")
+	}
+	d.SetPlatformTable(platformTable(4), StoredVersion{Era: 2}, clock.BootNow()-clock.BootTime(time.Minute))
+	n := neighboursOf(d, map[string]func() (Knowledge, error){
+		"a": noAnswer, "b": answer(Knowledge{Version: 5, Evacuated: []string{"north"}, RestoredMillis: 200}),
+	})
+	confirmed := clock.BootNow()
+	n.Run(t.Context())
+	d.Confirm(StoredVersion{Era: 2, Version: 4}, clock.BootNow())
+	if _, age := d.Index(); clock.BootNow()-clock.BootTime(age) > confirmed {
+		t.Error("the older configuration is confirmed although a neighbour knows a newer one")
+	}
+	d.SetPlatformTable(platformTable(5), StoredVersion{Era: 2, Version: 5, Written: true}, clock.BootNow())
+	ix, _ := d.Index()
+	if ix == nil || ix.Table().Version != 5 {
+		t.Fatal("the newer configuration does not apply")
+	}
+	if !ix.IsOutOfService("u", "north") {
+		t.Error("the evacuation that a neighbour knows does not apply")
+	}
+	if k := d.Knowledge(); k.Version != 5 {
+		t.Errorf("the entry tells others %+v", k)
+	}
+}
+
+// TestNeighboursDelayNoStart checks that an entry waits no longer than it must: not at all
+// if its neighbours have just started as well, and a limited time if none answers.
+func TestNeighboursDelayNoStart(t *testing.T) {
+	for name, answers := range map[string]map[string]func() (Knowledge, error){
+		"all have just started": {"a": answer(Knowledge{}), "b": answer(Knowledge{})},
+		"none answers":          {"a": noAnswer},
+	} {
+		d := New()
+		d.AwaitNeighbours()
+		d.SetEvacuated(nil)
+		d.SetPlatformTable(platformTable(4), StoredVersion{}, clock.BootNow())
+		var index *table.Index
+		d.Subscribe(func(ix *table.Index) { index = ix })
+		begin := time.Now()
+		neighboursOf(d, answers).Run(t.Context())
+		if took := time.Since(begin); index == nil || took > maxAskTime+200*time.Millisecond || name == "all have just started" && took > 100*time.Millisecond {
+			t.Errorf("%s: waited %v, table %v", name, took, index)
+		}
+	}
+}
--- a/pkg/peer/entry_client.go
+++ b/pkg/peer/entry_client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/acaciaglade/acaciaglade/pkg/ceiling"
+	"github.com/acaciaglade/acaciaglade/pkg/directory"
 	"github.com/acaciaglade/acaciaglade/pkg/quarantine"
 	"github.com/acaciaglade/acaciaglade/pkg/sendlimit"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
@@ -100,6 +101,18 @@
 	return &reply, err
 }
 
+// ReadKnowledge reads what configuration an entry has.
+func (c *EntryClient) ReadKnowledge(ctx context.Context, address string) (directory.Knowledge, error) {
+	var k directory.Knowledge
+	body, err := c.client.open(ctx, c.client.pooled, http.MethodGet, address+directory.PathKnowledge, nil)
+	if err != nil {
+		return k, err
+	}
+	defer body.Close()
+	err = json.NewDecoder(io.LimitReader(body, maxPageBytes)).Decode(&k)
+	return k, errors.Wrap(err, "the entry's configuration can't be read; look at its version")
+}
+
 // Page reads a page of the table by its hash.
 func (c *EntryClient) Page(ctx context.Context, address, hash string) (table.Page, error) {
 	var p table.Page
