--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -60,6 +60,8 @@
 	must(parser.AddCommand("explain", "Explain a request", "Shows the decisions about a request, with the host and the reason of each.", &explainCommand{}))
 	limit := must(parser.AddCommand("limit", "Work with limits of upstreams", "Shows the limits that upstreams name.", &struct{}{}))
 	must(limit.AddCommand("list", "List the limits", "Lists the upstreams that name a limit of requests per second, and the part of it that an entry may send.", &limitListCommand{}))
+	store := must(parser.AddCommand("store", "Look at the platform's store", "Shows the history of the platform's store.", &struct{}{}))
+	must(store.AddCommand("show", "Show the history", "Shows the era of the platform's store, which rises when it comes back from a copy, and up to which revision an entry knows each kind of object.", &storeShowCommand{}))
 	quarantine := must(parser.AddCommand("quarantine", "Work with quarantined parts of prompts", "Shows and releases parts of prompts that are kept from upstreams.", &struct{}{}))
 	must(quarantine.AddCommand("list", "List the parts", "Lists the parts of prompts that are suspected or quarantined, and why.", &quarantineListCommand{}))
 	must(quarantine.AddCommand("release", "Release a part", "Ends the quarantine of a part at all entries, for example after the model was repaired.", &quarantineReleaseCommand{}))
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -108,6 +108,8 @@
 	Guard *crashguard.Guard
 	// Limits exchanges the limits that upstreams name. It may be nil.
 	Limits *limitexchange.Exchange
+	// StoreHistory provides the history of the platform's store. It may be nil.
+	StoreHistory operator.StoreHistory
 	// Agents calls the agents of other hosts.
 	Agents   *peer.AgentClient
 	Registry *prometheus.Registry
@@ -171,7 +173,7 @@
 	if deps.RelayTables {
 		e.peerSync = tablestore.NewPeerSync(deps.Store, client, f.Hosts)
 	}
-	operatorConfig := operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts}
+	operatorConfig := operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts, StoreHistory: deps.StoreHistory}
 	if routed {
 		operatorConfig.Directory = deps.Directory
 	}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -45,6 +45,8 @@
 	Quarantine Quarantine
 	// Limits provides the limits that upstreams name. It may be nil.
 	Limits Limits
+	// StoreHistory provides the history of the platform's store. It may be nil.
+	StoreHistory StoreHistory
 }
 
 // Directory holds the current table.
@@ -83,6 +85,7 @@
 	g.PUT("/upstreams/:name/:mark", a.markUpstream)
 	g.GET("/status", a.getStatus)
 	g.GET("/limits", a.getLimits)
+	g.GET("/store", a.getStoreHistory)
 	g.GET("/quarantine", a.getQuarantine)
 	g.DELETE("/quarantine/:service/:part", a.releasePart)
 	a.registerAccounts(g)
--- a/pkg/roster/view_test.go
+++ b/pkg/roster/view_test.go
@@ -93,3 +93,33 @@
 		t.Errorf("limit divisor %d after the removal, want 3; error %v", v.LimitDivisor(start), err)
 	}
 }
+
+// TestHostsCountAfterRestore guards against limits that are divided by too few entries,
+// because the store has come back from a copy that lacks some registrations.
+func TestHostsCountAfterRestore(t *testing.T) {
+	v := NewView("own")
+	for _, name := range []string{"own", "a", "b"} {
+		applyRegistration(t, v, name, "1.5", start)
+	}
+	v.MarkListed()
+	before := v.LimitDivisor(start)
+	restoredAt := start.Add(time.Minute)
+	v.MarkRestored(restoredAt)
+	for _, name := range []string{"own", "a"} {
+		deleted := objects.Event{Type: objects.Deleted, Object: objects.Object{Metadata: objects.Metadata{Name: name}}}
+		if err := v.Apply(deleted, restoredAt); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := v.LimitDivisor(restoredAt); got != before || len(v.Hosts(restoredAt)) != 3 {
+		t.Errorf("limit divisor %d and %d hosts after the restore, want %d and 3", got, len(v.Hosts(restoredAt)), before)
+	}
+	if v.ResourceVersion("own") != "" {
+		t.Error("the lost registration has a version, so it would not be created again")
+	}
+	applyRegistration(t, v, "own", "2.3", restoredAt.Add(time.Second))
+	later := restoredAt.Add(reregisterTime + time.Second)
+	if got := len(v.Hosts(later)); got != 2 {
+		t.Errorf("%d hosts once the others had the time to register again, want 2", got)
+	}
+}
--- a/pkg/storehistory/objects.go
+++ b/pkg/storehistory/objects.go
@@ -104,13 +104,16 @@
 
 // beginEra keeps what is known from before a restore.
 func (o *Objects) beginEra(items map[string]Item, now time.Time) {
-	o.kept = o.current(now)
-	o.keepUntil = now.Add(o.policy.KeepMissing)
+	known := o.current(now)
+	o.kept, o.keepUntil = known, now.Add(o.policy.KeepMissing)
+	if o.policy.KeepMissing == 0 {
+		o.kept = nil
+	}
 	o.hidden = make(map[string]bool)
 	o.hideUntil = now.Add(o.policy.HideRemoved)
 	for name, item := range items {
 		r, ok := o.removed[name]
-		if _, known := o.kept[name]; known || !ok || now.Sub(r.at) > removedTime {
+		if _, counts := known[name]; counts || !ok || now.Sub(r.at) > removedTime {
 			continue
 		}
 		o.hidden[name] = !o.isNewerThanRemoved(item, r.item)
