Read the members of a group again while some are of an earlier epoch

A coordinator took the member list of the store as complete once it had an entry of each rank. After a restore, or when a rank registers late, an entry can be that of an earlier epoch with another address, and the coordinator sent its orders there for the rest of the epoch: maps were not switched any more.

The entry of the newest epoch counts now, and the list is read again every 2 s while one is older.

--- a/pkg/lockstep/agent.go
+++ b/pkg/lockstep/agent.go
@@ -58,6 +58,9 @@
 	// membersInterval is the time between two reads of the group's member list while
 	// it is incomplete.
 	membersInterval = 500 * time.Millisecond
+	// outdatedMembersInterval is the time between two reads while the list has a rank of an
+	// earlier epoch. Ranks register within about a second after their group was formed.
+	outdatedMembersInterval = 2 * time.Second
 	// storeTimeout limits a call of the platform's store.
 	storeTimeout = time.Second
 )
@@ -273,11 +276,11 @@
 	if c == nil {
 		return
 	}
+	if interval := c.untilNextMembers(); interval > 0 && !now.Before(c.nextMembers) {
+		c.nextMembers = now.Add(interval)
+		a.readMembers(ctx, c)
+	}
 	if len(c.members) < c.size.Ranks {
-		if !now.Before(c.nextMembers) {
-			c.nextMembers = now.Add(membersInterval)
-			a.readMembers(ctx, c)
-		}
 		return
 	}
 	a.pollRanks(ctx, c, now)
@@ -302,9 +305,7 @@
 		a.log.WithError(err).Warn("the group's members could not be read from the platform's store; they are read again")
 		return
 	}
-	for _, m := range list {
-		c.members[m.Membership.Rank] = m
-	}
+	c.addMembers(list)
 }
 
 // sendOrders sends commands to their ranks. The same order to many ranks is relayed by
--- a/pkg/lockstep/coordination.go
+++ b/pkg/lockstep/coordination.go
@@ -356,3 +356,29 @@
 	}
 	return limits
 }
+
+// untilNextMembers returns the time between two reads of the member list, 0 if it has all
+// ranks in this epoch. A list may have ranks as they were in an earlier epoch, at other
+// addresses: a rank has not registered again yet, or the platform's store has come back from
+// a copy.
+func (c *coordination) untilNextMembers() time.Duration {
+	if len(c.members) < c.size.Ranks {
+		return membersInterval
+	}
+	for _, m := range c.members {
+		if m.Membership.Epoch < c.membership.Epoch {
+			return outdatedMembersInterval
+		}
+	}
+	return 0
+}
+
+// addMembers applies a member list. Of two members with the same rank, the one of the newer
+// epoch counts.
+func (c *coordination) addMembers(list []Member) {
+	for _, m := range list {
+		if known, ok := c.members[m.Membership.Rank]; !ok || m.Membership.Epoch >= known.Membership.Epoch {
+			c.members[m.Membership.Rank] = m
+		}
+	}
+}
