Refuse retries at once that only limited upstreams could take, too late

A request whose upstream failed it waited for a limited upstream until its deadline if those that it hadn't tried all name limits: the wait was worked out only where all upstreams of the service name limits. It is now worked out over the upstreams that the request can use, and the retry is refused at once if the limits don't allow it in time. TestRetryThatOnlyLimitedUpstreamsCanTake fails without the change.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -335,7 +335,7 @@
 		for _, it := range expired {
 			p := d.serviceRefusal(s, now)
 			if p == nil {
-				p = d.overloadRefusal(s, now)
+				p = d.overloadRefusal(s, s.waiting[it.ID], now)
 			}
 			delete(s.waiting, it.ID)
 			decisions = append(decisions, Decision{ID: it.ID, Refusal: p})
--- a/pkg/dispatch/limits.go
+++ b/pkg/dispatch/limits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -42,15 +43,15 @@
 // requests now, and perSecond more each second.
 type limitPart struct{ perSecond, available float64 }
 
-// limitParts returns what this entry may send to each usable upstream of a service if all of
-// them name limits, and otherwise nil.
-func (d *Dispatcher) limitParts(s *service, now time.Time) []limitPart {
+// limitParts returns what this entry may send to each upstream that a request can use, if all
+// of them name limits, and otherwise nil.
+func (d *Dispatcher) limitParts(s *service, r *Request, now time.Time) []limitPart {
 	if d.limits.IsEmpty() {
 		return nil
 	}
 	var parts []limitPart
 	for _, c := range s.candidates {
-		if !c.isUsable() || !c.groupOpen {
+		if !c.isUsable() || !c.groupOpen || slices.Contains(r.TriedUpstreams, c.ID) {
 			continue
 		}
 		if !d.limits.IsLimited(c.limitKey()) {
@@ -65,7 +66,7 @@
 // limitRefusal returns the refusal of a request that the limits of all upstreams keep
 // waiting for too long, or nil. A request with priority goes before the others that wait.
 func (d *Dispatcher) limitRefusal(s *service, r *Request, now time.Time) *problem.Problem {
-	parts := d.limitParts(s, now)
+	parts := d.limitParts(s, r, now)
 	if len(parts) == 0 {
 		return nil
 	}
@@ -98,8 +99,8 @@
 }
 
 // overloadRefusal returns the refusal of a request that has waited too long.
-func (d *Dispatcher) overloadRefusal(s *service, now time.Time) *problem.Problem {
-	if parts := d.limitParts(s, now); len(parts) > 0 {
+func (d *Dispatcher) overloadRefusal(s *service, r *Request, now time.Time) *problem.Problem {
+	if parts := d.limitParts(s, r, now); len(parts) > 0 {
 		return d.newLimitRefusal(s, limitWait(s.queues.Len(), parts), parts)
 	}
 	return d.newRefusal(problem.ReasonOverloaded, s.predictWait(now), s.queueDetail(now))
@@ -114,7 +115,7 @@
 	}
 	wait = max(minRetryAfter, wait)
 	spread := 1 + retryAfterJitter*d.rand.Float64()
-	detail := fmt.Sprintf("%d requests wait, and all upstreams name limits, of which this entry may use %.2f requests per second; predicted wait %d ms",
+	detail := fmt.Sprintf("%d requests wait, and all upstreams that can take this one name limits, of which this entry may use %.2f requests per second; predicted wait %d ms",
 		s.queues.Len(), perSecond, wait.Milliseconds())
 	return problem.New(problem.ReasonUpstreamLimited, detail).WithRetryAfter(min(maxLimitRetryAfter, time.Duration(spread*float64(wait))))
 }
--- a/pkg/dispatch/limits_test.go
+++ b/pkg/dispatch/limits_test.go
@@ -93,3 +93,22 @@
 		t.Errorf("%d attempts were sent within a second, want one that was saved and one", sent)
 	}
 }
+
+// TestRetryThatOnlyLimitedUpstreamsCanTake guards against a retry that waits until its
+// deadline because the upstreams that it hasn't tried name limits.
+func TestRetryThatOnlyLimitedUpstreamsCanTake(t *testing.T) {
+	list := ranks(3, 8)
+	d := newDispatcher(1, 1, list)
+	nameLimit(d, 0.2, t0, list[0], list[1])
+	retry := request("retry", t0)
+	retry.TriedUpstreams, retry.Deadline = []string{"rank-2"}, t0.Add(600*time.Millisecond)
+	for range 2 {
+		if got := dispatchedTo(t, d.Enqueue(retry, t0)); len(got) != 1 {
+			t.Fatalf("the request that was saved is not sent: %v", got)
+		}
+	}
+	decisions := d.Enqueue(retry, t0)
+	if len(decisions) != 1 || decisions[0].Refusal == nil || decisions[0].Refusal.Reason != problem.ReasonUpstreamLimited {
+		t.Errorf("decisions %+v, want a refusal at once", decisions)
+	}
+}
