--- a/lab/soak/deadly_test.go
+++ b/lab/soak/deadly_test.go
@@ -44,13 +44,13 @@
 	}
 }
 
-// streamsServed returns the number of streams without a deadly part that were sent in a
-// period, and how many of them had a complete response.
-func (c *checker) streamsServed(from, to time.Time) (sent, served int) {
+// servedBetween returns the number of requests of a kind that were sent in a period, and how
+// many of them had a complete response.
+func (c *checker) servedBetween(from, to time.Time, isOfKind func(*request) bool) (sent, served int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.requests {
-		if r.deadly || r.path != pathDraft && r.path != pathFinal || r.sentAt.Before(from) || r.sentAt.After(to) {
+		if !isOfKind(r) || r.sentAt.Before(from) || r.sentAt.After(to) {
 			continue
 		}
 		sent++
@@ -61,6 +61,9 @@
 	return sent, served
 }
 
+// isSoundStream reports whether a request is for a stream and has no deadly part.
+func isSoundStream(r *request) bool { return !r.deadly && (r.path == pathDraft || r.path == pathFinal) }
+
 // TestDeadlyPartCrashesFewUpstreams guards against a part of a prompt that crashes one
 // upstream after the other, because each request with it, new or repeated, is sent to the
 // next one.
@@ -75,7 +78,7 @@
 	if n := d.checker.deadly.crashCounts()[part]; n == 0 || n > maxCrashesPerPart {
 		t.Errorf("the part crashed %d upstreams, want 1 to %d", n, maxCrashesPerPart)
 	}
-	if sent, served := d.checker.streamsServed(from, to); sent == 0 || 2*served < sent {
+	if sent, served := d.checker.servedBetween(from, to, isSoundStream); sent == 0 || 2*served < sent {
 		t.Errorf("%d of %d sound streams were served while requests with the part came, want at least half", served, sent)
 	}
 	for _, text := range d.checker.violations {
--- a/lab/soak/restore_test.go
+++ b/lab/soak/restore_test.go
@@ -7,23 +7,6 @@
 	"github.com/acaciaglade/acaciaglade/lab/platformstore"
 )
 
-// servedBetween returns the number of requests that were sent in a period, and how many of
-// them had a complete response.
-func (c *checker) servedBetween(from, to time.Time) (sent, served int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, r := range c.requests {
-		if r.sentAt.Before(from) || r.sentAt.After(to) {
-			continue
-		}
-		sent++
-		if r.served {
-			served++
-		}
-	}
-	return sent, served
-}
-
 // TestServiceGoesOnAfterStoreIsRestored guards against entries that refuse what a store lists
 // that has come back from a copy, because its revisions are lower than before, so that
 // callers are refused and changes are not applied until the revisions have caught up.
@@ -47,7 +30,7 @@
 	d.updateConfig()
 	time.Sleep(4 * time.Second)
 	stop()
-	if sent, served := d.checker.servedBetween(restoredAt.Add(1200*time.Millisecond), restoredAt.Add(3500*time.Millisecond)); sent == 0 || 5*served < 4*sent {
+	if sent, served := d.checker.servedBetween(restoredAt.Add(1200*time.Millisecond), restoredAt.Add(3500*time.Millisecond), func(*request) bool { return true }); sent == 0 || 5*served < 4*sent {
 		t.Errorf("%d of %d requests were served from 1.2 s to 3.5 s after the store was back, want four fifths", served, sent)
 	}
 	for _, text := range d.checker.violations {
--- a/pkg/cli/limits.go
+++ b/pkg/cli/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -17,14 +16,7 @@
 // Execute implements flags.Commander.
 func (c *limitListCommand) Execute([]string) error {
 	r, err := c.client().Limits(context.Background())
-	switch {
-	case err != nil:
-		return err
-	case c.JSON:
-		return printJSON(r)
-	default:
-		return printLimits(os.Stdout, r)
-	}
+	return printReport(&c.connection, r, err, printLimits)
 }
 
 // printLimits prints the limits that upstreams name as a table.
--- a/pkg/cli/operator.go
+++ b/pkg/cli/operator.go
@@ -32,6 +32,19 @@
 	return errors.WithStack(enc.Encode(v))
 }
 
+// printReport prints a report by print, or as JSON, or returns the error of the call that
+// requested it.
+func printReport[T any](c *connection, report T, err error, print func(io.Writer, T) error) error {
+	switch {
+	case err != nil:
+		return err
+	case c.JSON:
+		return printJSON(report)
+	default:
+		return print(os.Stdout, report)
+	}
+}
+
 type tableShowCommand struct {
 	connection
 	CSV bool `long:"csv" description:"Print the organisations as CSV."`
--- a/pkg/cli/quarantine.go
+++ b/pkg/cli/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -18,19 +17,7 @@
 // Execute implements flags.Commander.
 func (c *quarantineListCommand) Execute([]string) error {
 	r, err := c.client().Quarantine(context.Background())
-	return c.print(r, err)
-}
-
-// print prints a report, or returns the error of the call that requested it.
-func (c *connection) print(r *operator.QuarantineReport, err error) error {
-	switch {
-	case err != nil:
-		return err
-	case c.JSON:
-		return printJSON(r)
-	default:
-		return printQuarantine(os.Stdout, r)
-	}
+	return printReport(&c.connection, r, err, printQuarantine)
 }
 
 type quarantineReleaseCommand struct {
@@ -44,7 +31,7 @@
 // Execute implements flags.Commander.
 func (c *quarantineReleaseCommand) Execute([]string) error {
 	r, err := c.client().ReleasePart(context.Background(), c.Args.Service, c.Args.Part)
-	return c.print(r, err)
+	return printReport(&c.connection, r, err, printQuarantine)
 }
 
 // printQuarantine prints the parts that are kept from upstreams as a table.
--- a/pkg/cli/storehistory.go
+++ b/pkg/cli/storehistory.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -17,14 +16,7 @@
 // Execute implements flags.Commander.
 func (c *storeShowCommand) Execute([]string) error {
 	r, err := c.client().StoreHistory(context.Background())
-	switch {
-	case err != nil:
-		return err
-	case c.JSON:
-		return printJSON(r)
-	default:
-		return printStoreHistory(os.Stdout, r)
-	}
+	return printReport(&c.connection, r, err, printStoreHistory)
 }
 
 // printStoreHistory prints the history of the platform's store as an entry knows it.
--- a/pkg/crashguard/trial.go
+++ b/pkg/crashguard/trial.go
@@ -84,11 +84,9 @@
 
 // entryAddresses returns the addresses of the entries by name, this one included.
 func (g *Guard) entryAddresses() map[string]string {
-	addresses := map[string]string{g.cfg.Entry: ""}
-	for _, h := range g.cfg.Hosts() {
-		if h.Role == hosts.RoleEntry {
-			addresses[h.Name] = h.Address
-		}
+	addresses := hosts.EntryAddresses(g.cfg.Hosts())
+	if _, ok := addresses[g.cfg.Entry]; !ok {
+		addresses[g.cfg.Entry] = ""
 	}
 	return addresses
 }
--- a/pkg/directory/neighbours.go
+++ b/pkg/directory/neighbours.go
@@ -122,20 +122,18 @@
 func (n *Neighbours) AskAll(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var asked, answered int
+	others := hosts.EntryAddresses(n.Hosts())
+	delete(others, n.Entry)
+	answered := 0
 	var known atomic.Bool
 	var mu sync.Mutex
 	slots := make(chan struct{}, maxAsked)
 	var questions sync.WaitGroup
-	for _, h := range n.Hosts() {
-		if h.Role != hosts.RoleEntry || h.Name == n.Entry {
-			continue
-		}
-		asked++
+	for _, address := range others {
 		questions.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			k, err := n.Ask(ctx, h.Address)
+			k, err := n.Ask(ctx, address)
 			if err != nil {
 				return
 			}
@@ -148,7 +146,7 @@
 		})
 	}
 	questions.Wait()
-	return known.Load() || asked > 0 && answered == asked
+	return known.Load() || len(others) > 0 && answered == len(others)
 }
 
 // RegisterPeerRoutes adds the route that other entries call.
--- a/pkg/entry/ceilings.go
+++ b/pkg/entry/ceilings.go
@@ -58,17 +58,6 @@
 	return c.limiter.Spend(organisation, limit, entries, cost, now)
 }
 
-// entryAddresses returns the addresses of the entry hosts by name.
-func (c *ceilings) entryAddresses() map[string]string {
-	addresses := make(map[string]string)
-	for _, h := range c.listHosts() {
-		if h.Role == hosts.RoleEntry {
-			addresses[h.Name] = h.Address
-		}
-	}
-	return addresses
-}
-
 // run requests leases from the home entries until ctx ends.
 func (c *ceilings) run(ctx context.Context) {
 	ticker := time.NewTicker(ceiling.RequestInterval)
@@ -86,7 +75,7 @@
 // requestLeases sends one request to each home entry and waits for the responses.
 // The leases of a home that doesn't respond expire.
 func (c *ceilings) requestLeases(ctx context.Context) {
-	addresses := c.entryAddresses()
+	addresses := hosts.EntryAddresses(c.listHosts())
 	names := make([]string, 0, len(addresses))
 	for name := range addresses {
 		names = append(names, name)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -108,8 +108,8 @@
 	Guard *crashguard.Guard
 	// Limits exchanges the limits that upstreams name. It may be nil.
 	Limits *limitexchange.Exchange
-	// StoreHistory provides the history of the platform's store. It may be nil.
-	StoreHistory operator.StoreHistory
+	// History provides the history of the platform's store. It may be nil.
+	History operator.StoreHistory
 	// Agents calls the agents of other hosts.
 	Agents   *peer.AgentClient
 	Registry *prometheus.Registry
@@ -173,7 +173,7 @@
 	if deps.RelayTables {
 		e.peerSync = tablestore.NewPeerSync(deps.Store, client, f.Hosts)
 	}
-	operatorConfig := operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts, StoreHistory: deps.StoreHistory}
+	operatorConfig := operator.Config{Token: cfg.OperatorToken, Entry: cfg.Name, Accounts: e.accounts, StoreHistory: deps.History}
 	if routed {
 		operatorConfig.Directory = deps.Directory
 	}
--- a/pkg/hosts/hosts.go
+++ b/pkg/hosts/hosts.go
@@ -33,6 +33,17 @@
 	Draining bool `json:"leaving"`
 }
 
+// EntryAddresses returns the addresses of the entries in a list by name.
+func EntryAddresses(list []Host) map[string]string {
+	addresses := make(map[string]string, len(list))
+	for _, h := range list {
+		if h.Role == RoleEntry {
+			addresses[h.Name] = h.Address
+		}
+	}
+	return addresses
+}
+
 // maxListBytes limits the size of the list: some hundred bytes for each of some thousand
 // hosts.
 const maxListBytes = 4 << 20
--- a/pkg/limitexchange/limitexchange.go
+++ b/pkg/limitexchange/limitexchange.go
@@ -153,12 +153,8 @@
 
 // others returns the addresses of the other entries by name.
 func (x *Exchange) others() map[string]string {
-	addresses := make(map[string]string)
-	for _, h := range x.cfg.Hosts() {
-		if h.Role == hosts.RoleEntry && h.Name != x.cfg.Entry {
-			addresses[h.Name] = h.Address
-		}
-	}
+	addresses := hosts.EntryAddresses(x.cfg.Hosts())
+	delete(addresses, x.cfg.Entry)
 	return addresses
 }
 
--- a/pkg/sendlimit/report.go
+++ b/pkg/sendlimit/report.go
@@ -1,7 +1,6 @@
 package sendlimit
 
 import (
-	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,9 +23,19 @@
 	ReceivedMillis int64 `json:"received_ms_ago"`
 }
 
-// check reports whether another process may have sent the report in error.
+// Bounds of a report.
+const (
+	// MaxRate is the highest limit in requests per second. No upstream takes as many, so a
+	// higher one is a mistake.
+	MaxRate = 1_000_000
+	// maxAge is the highest age: no process runs for longer.
+	maxAge = 10 * 365 * 24 * time.Hour
+)
+
+// check returns an error if the report can't be true.
 func (r *Report) check() error {
-	if r.Upstream == "" || r.Rate < 0 || math.IsNaN(r.Rate) || math.IsInf(r.Rate, 0) || r.SinceMillis < 0 || r.ReceivedMillis < 0 || r.SentMillis < r.ReceivedMillis {
+	ages := r.SinceMillis >= 0 && r.SinceMillis <= maxAge.Milliseconds() && r.ReceivedMillis >= 0 && r.ReceivedMillis <= r.SentMillis && r.SentMillis <= maxAge.Milliseconds()
+	if r.Upstream == "" || !(r.Rate >= 0 && r.Rate <= MaxRate) || !ages {
 		return errors.Errorf("report of a limit of upstream %q is invalid; look at the version of the entry that sent it", r.Upstream)
 	}
 	return nil
--- a/pkg/sendlimit/table_test.go
+++ b/pkg/sendlimit/table_test.go
@@ -78,7 +78,7 @@
 	if !merge(a, b, 1900) || a.IsLimited(upstreamKey) {
 		t.Error("the end of the limit does not apply at the other entry")
 	}
-	for _, r := range []Report{{}, {Key: upstreamKey, Rate: -1}, {Key: upstreamKey, ReceivedMillis: 5}, {Key: upstreamKey, SinceMillis: -1}} {
+	for _, r := range []Report{{}, {Key: upstreamKey, Rate: -1}, {Key: upstreamKey, ReceivedMillis: 5}, {Key: upstreamKey, SinceMillis: -1}, {Key: upstreamKey, Rate: 2 * MaxRate}, {Key: upstreamKey, SentMillis: 1 << 62}} {
 		if _, err := a.Merge(&r, after(2000)); err == nil {
 			t.Errorf("the report %+v is accepted", r)
 		}
