Let an entry use its part of a limit as soon as another one has told it

An entry that learned a limit from another one, or before its first lease request, had no part of it for up to 250 ms, so it stated a minute as Retry-After if all upstreams of a service name limits: callers would have stayed away for nothing. Seen as "of this entry 0.00" in the first output of the new test of operators' commands on real processes. Reports and the list of hosts now set the part at once.

TestReportsOfOtherEntries has the case and fails without the change ("may send 0 per second").

--- a/lab/platformstore/platformstore.go
+++ b/lab/platformstore/platformstore.go
@@ -127,6 +127,13 @@
 	s.notifyWatches()
 }
 
+// Names returns the names of the objects of a kind, in order.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.kinds[kind]))
+}
+
 // Calls returns the number of HTTP calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/lab/soak/operators_test.go
+++ b/lab/soak/operators_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -119,3 +121,55 @@
 		t.Errorf("table without a token: status %d, want 401", status)
 	}
 }
+
+// command runs an operators' command against an entry and returns its output.
+func (d *deployment) command(t *testing.T, entry int, args ...string) string {
+	t.Helper()
+	c := exec.CommandContext(t.Context(), d.entries[0].args[0], append(args, "--entry", "http://"+hostIP(1, entry)+":"+itoa(d.port))...)
+	c.Env = append(os.Environ(), "ACACIAGLADE_OPERATOR_TOKEN="+operatorToken)
+	out, err := c.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %v\n%s", args, err, out)
+	}
+	return string(out)
+}
+
+// TestOperatorsSeeLimitsAndRestores checks that a limit that one entry has learned is shown by
+// another one, that the era of a store that has come back from a copy is shown, and that the
+// table that the copy lacks is written again.
+func TestOperatorsSeeLimitsAndRestores(t *testing.T) {
+	d, _ := newFaultFreeDeployment(t)
+	objects := d.store.Copy()
+	client := operator.NewClient("http://"+hostIP(1, 0)+":"+itoa(d.port), operatorToken)
+	weight := 5
+	if _, err := client.PatchOrganisation(t.Context(), "north", &operator.RowPatch{Weight: &weight}); err != nil {
+		t.Fatal(err)
+	}
+	d.restoreStore(objects)
+	plain := d.upstreams[d.size.Ranks]
+	plain.nameLimit(2.5)
+	c := newCaller(d, newBalancer(d, 2), 1, 2)
+	shown := func(entry int, text string, args ...string) {
+		t.Helper()
+		out, deadline := "", time.Now().Add(5*time.Second)
+		for time.Now().Before(deadline) {
+			if out = d.command(t, entry, args...); strings.Contains(out, text) {
+				t.Logf("%v\n%s", args, out)
+				return
+			}
+			c.sendRandom()
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Errorf("%v at entry %d does not show %q:\n%s", args, entry, text, out)
+	}
+	for entry := range d.entries {
+		shown(entry, "2.5", "limit", "list")
+		shown(entry, "era    2", "store", "show")
+	}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && len(d.store.Names("tablepages")) == 0; {
+		time.Sleep(50 * time.Millisecond)
+	}
+	if len(d.store.Names("tables")) != 1 || len(d.store.Names("tablepages")) == 0 {
+		t.Errorf("the store has the tables %v with the pages %v", d.store.Names("tables"), d.store.Names("tablepages"))
+	}
+}
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -353,6 +353,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hosts = list
+	f.dispatcher.Limits().SetEntryCount(len(hosts.EntryAddresses(list)))
 }
 
 // EntryCount returns the number of entry hosts, at least 1.
--- a/pkg/sendlimit/report.go
+++ b/pkg/sendlimit/report.go
@@ -71,5 +71,7 @@
 	if !r.isNewer(report.Limited, sentAt, receivedAt) {
 		return false, nil
 	}
-	return r.apply(report.Limited, report.Rate, report.Entry, before(report.SinceMillis), sentAt, receivedAt), nil
+	changed := r.apply(report.Limited, report.Rate, report.Entry, before(report.SinceMillis), sentAt, receivedAt)
+	t.setBase(r)
+	return changed, nil
 }
--- a/pkg/sendlimit/table.go
+++ b/pkg/sendlimit/table.go
@@ -78,6 +78,18 @@
 	return changed
 }
 
+// SetEntryCount sets the number of entries that share the limits. 0 is ignored: the list of
+// hosts is empty only while it is unknown.
+func (t *Table) SetEntryCount(n int) {
+	if n == 0 || n == t.entries {
+		return
+	}
+	t.entries = n
+	for _, r := range t.records {
+		t.setBase(r)
+	}
+}
+
 // setBase sets this entry's part of a limit as long as it has leased no other one.
 func (t *Table) setBase(r *record) {
 	if t.entries > 0 {
@@ -188,9 +200,7 @@
 // LeaseRequests returns the lease requests to send now, by home, and removes the records of
 // limits that have ended some time ago.
 func (t *Table) LeaseRequests(entries []string, now time.Time) ceiling.Batches {
-	if len(entries) > 0 {
-		t.entries = len(entries)
-	}
+	t.SetEntryCount(len(entries))
 	batches := make(ceiling.Batches)
 	for key, r := range t.records {
 		if !r.limited {
--- a/pkg/sendlimit/table_test.go
+++ b/pkg/sendlimit/table_test.go
@@ -43,6 +43,7 @@
 // end, and against late reports that undo a newer one.
 func TestReportsOfOtherEntries(t *testing.T) {
 	a, b := New("a", 1), New("b", 2)
+	b.LeaseRequests([]string{"a", "b"}, after(0))
 	merge := func(to, from *Table, ms int) bool {
 		t.Helper()
 		changed := false
@@ -70,6 +71,9 @@
 	if l := b.Limits(after(2000))[0]; l.ReceivedBy != "a" || l.Rate != 2 || l.SinceSeconds < 1.89 || l.SinceSeconds > 1.91 {
 		t.Errorf("the limit is shown as %+v", l)
 	}
+	if perSecond, _ := b.Rate(upstreamKey, after(2000)); perSecond != 1 {
+		t.Errorf("the entry may send %v per second at once, want its half", perSecond)
+	}
 	late := a.Reports(after(1500))
 	b.Observe(notice(false, 0, 1600, 1700))
 	if changed, err := b.Merge(&late[0], after(1800)); changed || err != nil || b.IsLimited(upstreamKey) {
