Drop leased parts of a limit when the upstream names another one

When an upstream lowered its limit, entries went on at the rates that they had leased of the earlier one, for up to two seconds: it got more than it took.

A change of the limit now ends the leases, and every entry is back at its part of the new one at once. TestLowerLimitAppliesAtOnce (30 to 1 per second) fails without the change with 12 and 13 requests in 4 s where 11 are allowed, at 4 and 17 entries.

--- a/pkg/ceiling/leasedrate.go
+++ b/pkg/ceiling/leasedrate.go
@@ -30,6 +30,13 @@
 	return LeasedRate{base: base, demandedSince: now}
 }
 
+// DropLease returns to the base rate, because the limit that was shared has changed. Grants
+// for earlier requests are ignored.
+func (b *LeasedRate) DropLease() {
+	b.lease = lease{}
+	b.sequence++
+}
+
 // RecordDemand adds to the cost that the next lease request reports.
 func (b *LeasedRate) RecordDemand(cost float64) { b.demanded += cost }
 
--- a/pkg/sendlimit/record.go
+++ b/pkg/sendlimit/record.go
@@ -58,6 +58,9 @@
 	}
 	if changed {
 		r.entry = entry
+		// What was leased is a part of another limit.
+		r.allowance.DropLease()
+		r.allowance.level = min(1, r.allowance.level)
 	}
 	r.limited, r.rate, r.sentAt, r.receivedAt = limited, rate, sentAt, receivedAt
 	return changed
--- a/pkg/sendlimit/schedule_test.go
+++ b/pkg/sendlimit/schedule_test.go
@@ -226,3 +226,27 @@
 		t.Error("the upstream takes no request 8 s later")
 	}
 }
+
+// TestLowerLimitAppliesAtOnce guards against entries that keep to parts of an earlier, higher
+// limit that they have leased.
+func TestLowerLimitAppliesAtOnce(t *testing.T) {
+	for _, entries := range []int{4, 17} {
+		s := newSchedule(1, entries, 30)
+		for _, name := range s.names {
+			s.entries[name].busy = true
+		}
+		for s.now.Sub(start) < 6*time.Second {
+			s.step()
+		}
+		s.limit, s.sent = 1, nil
+		for _, name := range s.names {
+			s.entries[name].table.Observe(&Notice{Key: upstreamKey, Limited: true, Rate: s.limit, SentAt: s.now, ReceivedAt: s.now.Add(time.Millisecond)})
+		}
+		for s.now.Sub(start) < 16*time.Second {
+			s.step()
+		}
+		if err := s.check(); err != nil {
+			t.Errorf("%d entries: %v", entries, err)
+		}
+	}
+}
