Don't take the copy of a second restore for a version that was written again

A configuration counts as written again in a new era if it has another revision than the one under which it was known. After two restores, the second from a copy that was made before the first, it has its first revision again, which differs from the latest: keys would have been confirmed 0.5 s too early.

All revisions of the current version are remembered now. TestCopyOfEarlierEraDoesNotConfirm fails without the change.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -35,10 +35,11 @@
 	operatorTable    *table.Table
 	index            *table.Index
 	confirmedAt      clock.BootTime
-	// stored is where the current configuration was last seen in the store, and confirmedEra
-	// the newest era in which it was confirmed. unsettledEra is a newer one, seen at
-	// unsettledAt.
+	// stored is where the current configuration was last confirmed in the store, and
+	// storedRevisions are all revisions that it has had there. confirmedEra is the newest era
+	// in which it was confirmed, unsettledEra a newer one that was seen at unsettledAt.
 	stored                     StoredVersion
+	storedRevisions            []uint64
 	confirmedEra, unsettledEra uint64
 	unsettledAt                clock.BootTime
 	// awaiting is true while the entry waits for what other entries know, minVersion the
@@ -114,8 +115,8 @@
 	case v.Era == d.confirmedEra:
 		return true
 	}
-	// In the copy, the version would have the revision under which it was known.
-	rewritten := v.Version == d.stored.Version && v.Revision != d.stored.Revision
+	// In a copy, the version would have a revision under which it was known.
+	rewritten := v.Version == d.stored.Version && !slices.Contains(d.storedRevisions, v.Revision)
 	if !v.Written && !rewritten && sentAt < d.unsettledAt+clock.BootTime(SettleTime) {
 		return false
 	}
@@ -137,6 +138,12 @@
 	if !d.isNewest(v, sentAt) {
 		return
 	}
+	if v.Version != d.stored.Version {
+		d.storedRevisions = nil
+	}
+	if !slices.Contains(d.storedRevisions, v.Revision) {
+		d.storedRevisions = append(d.storedRevisions, v.Revision)
+	}
 	d.stored = v
 	d.confirmedAt = max(d.confirmedAt, sentAt)
 }
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -113,3 +113,21 @@
 		}
 	}
 }
+
+// TestCopyOfEarlierEraDoesNotConfirm guards against a second restore, from a copy that was
+// made before the first one: the version has its old revision again.
+func TestCopyOfEarlierEraDoesNotConfirm(t *testing.T) {
+	const second = clock.BootTime(time.Second)
+	now := clock.BootNow()
+	d := New()
+	d.SetEvacuated(nil)
+	d.SetPlatformTable(platformTable(4), StoredVersion{Era: 1, Revision: 40}, now-60*second)
+	d.SetPlatformTable(platformTable(4), StoredVersion{Era: 2, Revision: 31}, now-50*second)
+	if _, age := d.Index(); age > 55*time.Second {
+		t.Errorf("validation age %v although the version was written again", age)
+	}
+	d.SetPlatformTable(platformTable(4), StoredVersion{Era: 3, Revision: 40}, now-second)
+	if _, age := d.Index(); age < 45*time.Second {
+		t.Errorf("validation age %v, confirmed by a copy that was made before the first restore", age)
+	}
+}
