Show the lost answer of the store with an evacuation in place of a drain

A replica that leaves says so in its answers, so the draining replica of the case did what no sound one does. The case now evacuates a zone: after an answer to its watch of `evacuations` was lost, an entry sends orders to the zone later than evacuate-ms after the ack, and loses those that run as the replica is stopped.

--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -17,7 +17,6 @@
 // Bounds of the small deployments, as in their settings.
 const (
 	contactTime = 3 * time.Second
-	drainTime   = 2 * time.Second
 	graceTime   = 8 * time.Second
 	configTime  = 2 * time.Second
 	lossSlack   = 200 * time.Millisecond
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,7 +18,7 @@
 
 // cases holds the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(record *recorder, trouble bool) (int, error){
-	"drain":      runDrain,
+	"evacuate":   runEvacuate,
 	"map":        runMap,
 	"revoke":     runRevoke,
 	"stop":       runStop,
