--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -67,6 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
+	started.addFolder(dir)
 	d := &deployment{record: record, store: newStore(), dir: dir, upstreams: map[string]*upstream{}, config: config, version: 1, runs: map[string]int{}}
 	d.subnet = fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), 1+rand.IntN(250))
 	if d.ports, err = freePorts(d.subnet+"1", 4); err != nil {
@@ -194,10 +195,11 @@
 	return p, nil
 }
 
-// processList holds the processes that this test has started.
+// processList holds the processes that this test has started, and its temporary folders.
 type processList struct {
-	mu   sync.Mutex
-	list []*process
+	mu      sync.Mutex
+	list    []*process
+	folders []string
 }
 
 var started processList
@@ -208,13 +210,23 @@
 	l.list = append(l.list, p)
 }
 
-// endProcesses ends all processes that this test has started.
+func (l *processList) addFolder(folder string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.folders = append(l.folders, folder)
+}
+
+// endProcesses ends all processes that this test has started, and removes its folders.
 func endProcesses() {
 	started.mu.Lock()
 	defer started.mu.Unlock()
 	for _, p := range started.list {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
+		<-p.done
+	}
+	for _, folder := range started.folders {
+		os.RemoveAll(folder)
 	}
 }
 
