review: a second answer of an engine makes a pass begin with two maps

While the agent beside a rank is dead, the coordinator's agent sends that rank's orders itself. A faulty engine repeats an earlier answer where the answer to an order is expected; any 200 counts as the order's confirmation, so the pass is released while the rank keeps its old map. The map case's start of a group is now shared by both cases.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,7 @@
 
 // cases holds the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(record *recorder, trouble bool) (int, error){
+	"answer":     runAnswer,
 	"evacuate":   runEvacuate,
 	"map":        runMap,
 	"revoke":     runRevoke,
--- a/review/standins/mapcase.go
+++ b/review/standins/mapcase.go
@@ -42,18 +42,11 @@
 	defer d.close()
 	g := newGroup(record)
 	defer close(g.stop)
-	agents := make([]*process, groupRanks)
-	for rank := range groupRanks {
-		ip, zone := fmt.Sprintf("%s%d", d.subnet, 30+rank), []string{"z-a", "z-b", "z-c"}[rank%3]
-		u, err := d.startUpstreamAt(ip, fmt.Sprintf("i-rank%d", rank), "writers", zone, 12, func(u *upstream, w http.ResponseWriter, r *http.Request) { g.serve(u, rank, w, r) })
-		if err != nil {
-			return 0, err
-		}
-		u.extra = map[string]any{"group": g.membership(rank), "size": groupRanks}
-		u.register("ready", u.born)
-		if agents[rank], err = d.startAgent(ip, zone, u); err != nil {
-			return 0, err
-		}
+	agents, err := d.startGroup(g, func(rank int) func(*upstream, http.ResponseWriter, *http.Request) {
+		return func(u *upstream, w http.ResponseWriter, r *http.Request) { g.serve(u, rank, w, r) }
+	})
+	if err != nil {
+		return 0, err
 	}
 	go g.run()
 	entries, err := d.startEntries(2)
@@ -96,6 +89,25 @@
 	return g.broken, nil
 }
 
+// startGroup starts the replicas of a group and the agents beside them. handler returns what
+// serves the calls of a rank.
+func (d *deployment) startGroup(g *group, handler func(rank int) func(*upstream, http.ResponseWriter, *http.Request)) ([]*process, error) {
+	agents := make([]*process, groupRanks)
+	for rank := range groupRanks {
+		ip, zone := fmt.Sprintf("%s%d", d.subnet, 30+rank), []string{"z-a", "z-b", "z-c"}[rank%3]
+		u, err := d.startUpstreamAt(ip, fmt.Sprintf("i-rank%d", rank), "writers", zone, 12, handler(rank))
+		if err != nil {
+			return nil, err
+		}
+		u.extra = map[string]any{"group": g.membership(rank), "size": groupRanks}
+		u.register("ready", u.born)
+		if agents[rank], err = d.startAgent(ip, zone, u); err != nil {
+			return nil, err
+		}
+	}
+	return agents, nil
+}
+
 // startAgent starts the agent beside a model replica with the command of the deploy file.
 func (d *deployment) startAgent(ip, zone string, u *upstream) (*process, error) {
 	store, err := d.store.open()
