Bound the age of each view of the store

Cause: a watch waited 20 s for a change, and the answer that reported the end of an earlier evacuation was lost on a connection that stayed open. Until the wait was over the entry read no evacuation, was ready and said nothing. TCP keep-alive shows nothing: the store's host acknowledges the probes.

Past the bound the entry is not ready and heeds the evacuations that other entries know.

--- a/lab/platformstore/platformstore.go
+++ b/lab/platformstore/platformstore.go
@@ -1,7 +1,7 @@
 // Package platformstore simulates the platform's store: objects by kind and name with
 // one revision counter, paged lists, watches by long polling, and conditional writes.
-// It can refuse calls, drop responses, delay writes, drop its history and come back from a
-// copy.
+// It can refuse calls, drop responses, lose them on connections that stay open, delay writes,
+// drop its history and come back from a copy.
 package platformstore
 
 import (
@@ -27,6 +27,9 @@
 	Down bool
 	// DropResponses carries writes out and closes their connections without a response.
 	DropResponses bool
+	// LoseAnswers loses the answers that are due. Their connections stay open, and nothing
+	// more arrives on them.
+	LoseAnswers bool
 	// WriteDelay closes the connections of writes without a response, and carries the
 	// writes out after this time.
 	WriteDelay time.Duration
@@ -202,8 +205,28 @@
 	s.changed = make(chan struct{})
 }
 
+// losingWriter is a response that is lost if the store loses answers when it is due.
+type losingWriter struct {
+	http.ResponseWriter
+	store   *Store
+	request *http.Request
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *losingWriter) WriteHeader(status int) {
+	w.store.mu.Lock()
+	lost := w.store.faults.LoseAnswers
+	w.store.mu.Unlock()
+	if lost {
+		<-w.request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w = &losingWriter{ResponseWriter: w, store: s, request: r}
 	s.mu.Lock()
 	s.calls++
 	faults := s.faults
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -55,6 +55,8 @@
 	// uninterruptedSince reports whether an entry has run since a time without a restart or
 	// freeze.
 	uninterruptedSince func(entry string, at time.Time) bool
+	// evacuatedAt is when the store accepted that a failure domain is evacuated, by domain.
+	evacuatedAt map[string]time.Time
 	// leaving holds when an entry first passed on that an upstream is leaving.
 	leaving map[passedOn]time.Time
 }
@@ -77,7 +79,7 @@
 func newChecker() *checker {
 	return &checker{
 		requests: make(map[string]*request), counts: make(map[string]int), keys: make(map[string]keyValidity),
-		deadly: newDeadlyParts(), deadlyRequests: newDeadlyRequests(), leaving: make(map[passedOn]time.Time),
+		deadly: newDeadlyParts(), deadlyRequests: newDeadlyRequests(), leaving: make(map[passedOn]time.Time), evacuatedAt: make(map[string]time.Time),
 	}
 }
 
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -33,6 +33,9 @@
 	// drainLimit is the time after an upstream announced that it drains from which it
 	// must receive no requests.
 	drainLimit = 2 * time.Second
+	// evacuateLimit is the time after which an evacuated failure domain must receive no
+	// requests.
+	evacuateLimit = 5 * time.Second
 	// contactTimeout is the time without contact after which a process counts as
 	// unreachable.
 	contactTimeout = 3 * time.Second
@@ -91,6 +94,8 @@
 	keys map[string]string
 	// plainService is the service that the plain routes lead to.
 	plainService string
+	// evacuated is the failure domain that is evacuated, "" for none.
+	evacuated string
 	// keysCreated makes each key unique.
 	keysCreated int
 }
--- a/lab/soak/doc.go
+++ b/lab/soak/doc.go
@@ -1,8 +1,8 @@
 // Package soak runs the programs in a simulated deployment of the platform, as separate
 // processes on this machine, and injects faults from outside. TCP forwarders delay, reset,
 // stall, blackhole or cut connections, or drop one direction. Signals stop, pause, kill
-// and restart processes. The platform's store refuses calls, drops responses, delays
-// writes and drops its history. Upstreams crash, don't respond, and send invalid
+// and restart processes. The platform's store refuses calls, drops responses, loses
+// answers on connections that stay open, delays writes and drops its history. Upstreams crash, don't respond, and send invalid
 // responses. The faults are drawn from a seed, come in series and overlap.
 //
 // Callers read responses from their connections themselves, with HTTP/1.1 on kept
@@ -21,6 +21,8 @@
 //   - no upstream receives a caller's key or the name of another organisation;
 //   - no work runs with a key later than allowed after the key was revoked;
 //   - all ranks of a group use the same expert map in a forward pass;
+//   - nothing runs in a failure domain that was evacuated, or at an upstream that drains,
+//     later than allowed;
 //   - work runs where the current configuration routes it, and no entry goes back to an
 //     older configuration;
 //   - a part of prompts that crashes ranks does so only a few times;
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -114,6 +114,7 @@
 	}},
 	storeFault("store down", func(*rand.Rand) platformstore.Faults { return platformstore.Faults{Down: true} }),
 	storeFault("store drops responses", func(*rand.Rand) platformstore.Faults { return platformstore.Faults{DropResponses: true} }),
+	storeFault("store loses answers", func(*rand.Rand) platformstore.Faults { return platformstore.Faults{LoseAnswers: true} }),
 	storeFault("store delays writes", func(r *rand.Rand) platformstore.Faults {
 		return platformstore.Faults{WriteDelay: time.Duration(r.IntN(3000)) * time.Millisecond}
 	}),
@@ -228,6 +229,16 @@
 			}
 		}
 	}},
+	{"failure domain evacuated", func(d *deployment, r *rand.Rand, duration time.Duration) func() {
+		if !d.evacuate(randomElement(r, failureDomains)) {
+			return nil
+		}
+		return func() {
+			// Requests reach it beyond the time that entries have to stop sending them.
+			time.Sleep(evacuateLimit + duration)
+			d.takeBack()
+		}
+	}},
 	{"expert popularity shift", func(d *deployment, r *rand.Rand, _ time.Duration) func() {
 		d.group.mu.Lock()
 		defer d.group.mu.Unlock()
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -163,6 +163,7 @@
 		"bounds": map[string]any{
 			"grace-s": gracePeriod.Seconds(), "revoke-ms": revocationLimit.Milliseconds(), "strict-revoke": true,
 			"retry-ratio": retryRatio, "retry-slack": retrySlack, "retry-window-s": retryWindow.Seconds(),
+			"evacuate-ms": evacuateLimit.Milliseconds(), "drain-ms": drainLimit.Milliseconds(), "contact-ms": contactTimeout.Milliseconds(),
 			"cold-overage": 1.5, "cold-slack": 5, "fence-required": false,
 		},
 		"platform": map[string]any{"address": storeAddress},
--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -262,6 +262,7 @@
 	if !drainingSince.IsZero() && now.Sub(drainingSince) > drainLimit && u.checker.entriesHealthy(drainingSince.Add(-staleTime), now) {
 		u.checker.RecordViolation("%s ran %s %v after it announced that it drains", u.id, attempt, now.Sub(drainingSince))
 	}
+	u.checker.checkEvacuated(u.failureDomain, u.id, attempt, now)
 	u.checker.RecordRun(&receivedRequest{
 		id: attempt, path: r.URL.Path, service: u.service, upstream: u.id,
 		organisation: r.Header.Get("X-Tenant"), key: r.Header.Get("X-Api-Key"),
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -48,7 +48,12 @@
 	awaiting      bool
 	minVersion    uint64
 	keptEvacuated []string
-	listeners     []func(*table.Index)
+	// evacuationsConfirmedAt is when the list of evacuations was last confirmed.
+	// neighbourEvacuated are the failure domains that others know to be evacuated; they count
+	// until the list is confirmed again.
+	evacuationsConfirmedAt clock.BootTime
+	neighbourEvacuated     []string
+	listeners              []func(*table.Index)
 }
 
 // New returns an empty directory.
@@ -184,6 +189,18 @@
 	d.rebuild()
 }
 
+// ConfirmEvacuations records that the list of evacuations was the newest at sentAt, when the
+// request that confirmed it was sent.
+func (d *Directory) ConfirmEvacuations(sentAt clock.BootTime) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.evacuationsConfirmedAt = max(d.evacuationsConfirmedAt, sentAt)
+	if d.neighbourEvacuated != nil {
+		d.neighbourEvacuated = nil
+		d.rebuild()
+	}
+}
+
 // SetOperatorTable replaces the operators' table.
 func (d *Directory) SetOperatorTable(ix *table.Index) {
 	d.mu.Lock()
@@ -207,7 +224,7 @@
 	if d.platformTable == nil || !d.evacuationsKnown || d.awaiting {
 		return
 	}
-	evacuated := slices.Compact(slices.Sorted(slices.Values(append(slices.Clone(d.evacuated), d.keptEvacuated...))))
+	evacuated := slices.Compact(slices.Sorted(slices.Values(slices.Concat(d.evacuated, d.keptEvacuated, d.neighbourEvacuated))))
 	d.index = table.NewIndex(mergeTables(d.platformTable, evacuated, d.operatorTable))
 	for _, fn := range d.listeners {
 		fn(d.index)
--- a/pkg/directory/neighbours.go
+++ b/pkg/directory/neighbours.go
@@ -36,6 +36,9 @@
 	Version uint64 `json:"version"`
 	// Evacuated are the failure domains that the platform has evacuated.
 	Evacuated []string `json:"evacuated"`
+	// EvacuatedAgeMillis is the time since the evacuations were last confirmed, -1 if they
+	// never were.
+	EvacuatedAgeMillis int64 `json:"evacuated_age_ms"`
 	// RestoredMillis is the time since the store has come back from a copy, -1 if it hasn't
 	// since the entry started.
 	RestoredMillis int64 `json:"restored_ms_ago"`
@@ -45,7 +48,10 @@
 func (d *Directory) Knowledge() Knowledge {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	k := Knowledge{Version: d.version(), Evacuated: slices.Clone(d.evacuated), RestoredMillis: -1}
+	k := Knowledge{Version: d.version(), Evacuated: slices.Clone(d.evacuated), EvacuatedAgeMillis: -1, RestoredMillis: -1}
+	if d.evacuationsConfirmedAt > 0 {
+		k.EvacuatedAgeMillis = clock.Since(d.evacuationsConfirmedAt).Milliseconds()
+	}
 	if d.unsettledAt > 0 {
 		k.RestoredMillis = clock.Since(d.unsettledAt).Milliseconds()
 	}
@@ -86,9 +92,34 @@
 		d.rebuild()
 		time.AfterFunc(EvacuationReturnTime, d.dropKeptEvacuated)
 	}
+	d.applyNeighbourEvacuations(k)
 	return true
 }
 
+// applyNeighbourEvacuations takes the failure domains out of service that another entry knows
+// to be evacuated, if its list is recent and that of this entry is not. The caller holds the
+// lock.
+func (d *Directory) applyNeighbourEvacuations(k Knowledge) {
+	if !d.evacuationsKnown || clock.Since(d.evacuationsConfirmedAt) <= EvacuationReturnTime {
+		return
+	}
+	if k.EvacuatedAgeMillis < 0 || k.EvacuatedAgeMillis > EvacuationReturnTime.Milliseconds() {
+		return
+	}
+	evacuated := slices.Clone(d.neighbourEvacuated)
+	for _, name := range k.Evacuated {
+		if !slices.Contains(evacuated, name) {
+			evacuated = append(evacuated, name)
+		}
+	}
+	if len(evacuated) == len(d.neighbourEvacuated) {
+		return
+	}
+	d.neighbourEvacuated = evacuated
+	d.log.WithField("failure_domains", evacuated).Info("evacuations that another entry knows apply")
+	d.rebuild()
+}
+
 func (d *Directory) dropKeptEvacuated() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/pkg/directory/neighbours_test.go
+++ b/pkg/directory/neighbours_test.go
@@ -88,3 +88,42 @@
 		}
 	}
 }
+
+// TestOutdatedEntryHeedsEvacuationsOfNeighbours guards against an entry that keeps sending to
+// an evacuated failure domain while only the other entries can read the store. The domains
+// must count until the entry has read the list itself, and lists of neighbours that are as old
+// must not.
+func TestOutdatedEntryHeedsEvacuationsOfNeighbours(t *testing.T) {
+	d := New()
+	d.SetPlatformTable(platformTable(4), StoredVersion{Era: 1}, clock.BootNow())
+	d.SetEvacuated([]string{"west"})
+	isOut := func(domain string) bool {
+		ix, _ := d.Index()
+		return ix.IsOutOfService("u", domain)
+	}
+	d.ConfirmEvacuations(clock.BootNow())
+	d.ApplyKnowledge(Knowledge{Version: 4, Evacuated: []string{"north"}, EvacuatedAgeMillis: 100, RestoredMillis: -1})
+	if isOut("north") {
+		t.Error("a neighbour's list counts although the own one is recent")
+	}
+	d.evacuationsConfirmedAt = clock.BootNow() - clock.BootTime(EvacuationReturnTime+time.Second)
+	d.ApplyKnowledge(Knowledge{Version: 4, Evacuated: []string{"north"}, EvacuatedAgeMillis: EvacuationReturnTime.Milliseconds() + 1, RestoredMillis: -1})
+	d.ApplyKnowledge(Knowledge{Version: 4, Evacuated: []string{"north"}, EvacuatedAgeMillis: -1, RestoredMillis: -1})
+	if isOut("north") {
+		t.Error("the old list of a neighbour counts")
+	}
+	d.ApplyKnowledge(Knowledge{Version: 4, Evacuated: []string{"north"}, EvacuatedAgeMillis: 100, RestoredMillis: -1})
+	d.ApplyKnowledge(Knowledge{Version: 4, Evacuated: []string{"east"}, EvacuatedAgeMillis: 100, RestoredMillis: -1})
+	for _, domain := range []string{"west", "north", "east"} {
+		if !isOut(domain) {
+			t.Errorf("%s is in service", domain)
+		}
+	}
+	if k := d.Knowledge(); len(k.Evacuated) != 1 || k.EvacuatedAgeMillis < EvacuationReturnTime.Milliseconds() {
+		t.Errorf("the entry tells %+v", k)
+	}
+	d.ConfirmEvacuations(clock.BootNow())
+	if isOut("north") || isOut("east") || !isOut("west") {
+		t.Error("neighbours' lists count after the own one was read")
+	}
+}
