Watch the store less often for the same bounds

Cause: the wait time was a third of the bound, as if the call after a lost answer waited as long as any other. It is answered at once when the view nears its bound, so half is enough.

--- a/pkg/storeview/storeview.go
+++ b/pkg/storeview/storeview.go
@@ -31,10 +31,10 @@
 // waitTime returns how long a watch call may wait for a change so that one lost answer never
 // makes the view older than its bound. slack is how long a call may take beyond its wait time.
 //
-// The view is oldest if the answer to the second of three calls is lost: it is then proved
-// by the sending of the first, until the third is answered.
+// The view is oldest if the answer to the second of two calls is lost: it is then proved by the
+// sending of the first. The call after them is answered at once.
 func waitTime(bound, slack time.Duration) time.Duration {
-	return max(minWait, (bound-slack-retryMargin)/3)
+	return max(minWait, (bound-slack-retryMargin)/2)
 }
 
 // State is the state of the view of one kind.
