Refuse what a stopping entry can't finish, and end the rest truthfully

Cause: the entry accepted everything for 0.4 of the grace period, whatever the response takes and however long its caller waits, and at the end the process just ended, with requests in queues and before their first byte.

Change: a filter decides about each request that arrives at a stopping entry, purely: the time left, the caller's deadline, how long the latest responses of its route took, and whether it may be repeated. What can't end in time is refused at once as not run. What still runs shortly before the process ends gets a truthful answer or a visible break. A refusal because of a stop asks the caller to come back at once, as another entry takes it.

--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -190,6 +190,9 @@
 	raw := c.buildRequest(r, stream, timeout, isHTTP10)
 	d.checker.RecordRequest(r)
 	resp, err := c.exchange(ctx, r, raw, isHTTP10)
+	if ctx.Err() == nil && (err != nil || resp.ending == endedEarly) {
+		d.checker.recordCut(r)
+	}
 	var malformed *framingError
 	if errors.As(err, &malformed) {
 		d.checker.RecordViolation("request %s received bytes that are no response: %v%s", r.id, err, d.checker.history(r))
--- a/lab/soak/checker.go
+++ b/lab/soak/checker.go
@@ -55,6 +55,9 @@
 	// uninterruptedSince reports whether an entry has run since a time without a restart or
 	// freeze.
 	uninterruptedSince func(entry string, at time.Time) bool
+	// cut lists the requests that have run, and whose connection ended without a complete
+	// response although their callers waited for it.
+	cut []string
 	// evacuatedAt is when the store accepted that a failure domain is evacuated, by domain.
 	evacuatedAt map[string]time.Time
 	// leaving holds when an entry first passed on that an upstream is leaving.
@@ -127,6 +130,15 @@
 	}
 }
 
+// recordCut records a request whose connection ended without a complete response, if it has run.
+func (c *checker) recordCut(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(r.runs) > 0 {
+		c.cut = append(c.cut, fmt.Sprintf("%s %s, sent at %s, ran at %v", r.id, r.path, r.sentAt.Format("15:04:05.000"), r.runs))
+	}
+}
+
 // CountOutcome counts the outcome of a request.
 func (c *checker) CountOutcome(outcome string) {
 	c.mu.Lock()
--- a/lab/soak/upstream.go
+++ b/lab/soak/upstream.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,6 +33,8 @@
 	orderDelay time.Duration
 	// responseDelay delays responses.
 	responseDelay time.Duration
+	// workTime is how long requests run, 0 for the usual time.
+	workTime time.Duration
 	// breaker, if not nil, breaks responses off and answers the next attempts wrongly.
 	breaker *breaker
 }
@@ -272,7 +275,7 @@
 // servePlain runs plain work.
 func (u *upstream) servePlain(w http.ResponseWriter, r *http.Request, attempt string, faults upstreamFaults) {
 	u.recordRun(r, attempt)
-	time.Sleep(plainWorkTime)
+	time.Sleep(cmp.Or(faults.workTime, plainWorkTime))
 	if faults.dropResponses {
 		panic(http.ErrAbortHandler)
 	}
@@ -363,6 +366,7 @@
 			w.Header().Set("X-Replica-Seal", signature(attempt))
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
+		time.Sleep(faults.workTime / events)
 		event := streamEvent(attempt, n)
 		if faults.truncateStreams && n == events/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -2,7 +2,7 @@
 // receives callers' requests over HTTP and writes the responses.
 //
 // A request passes the filters of package filter in this order: authenticate, route,
-// freshness, deadline, ceiling and attempt. If routes determine which requests need a key,
+// freshness, deadline, shutdown, ceiling and attempt. If routes determine which requests need a key,
 // route comes before authenticate.
 package entry
 
@@ -25,6 +25,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/freshness"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/route"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/shutdown"
 	"github.com/acaciaglade/acaciaglade/pkg/limitexchange"
 	"github.com/acaciaglade/acaciaglade/pkg/logging"
 	"github.com/acaciaglade/acaciaglade/pkg/operator"
@@ -135,6 +136,7 @@
 	accounts *accounts
 	// stopping is true once the entry has started draining.
 	stopping atomic.Bool
+	shutdown *shutdown.Filter
 	log      *logrus.Entry
 }
 
@@ -166,6 +168,7 @@
 		ceilings:  newCeilings(cfg.Name, cfg.CeilingBurst, client, f.Hosts, f.EntryCount),
 		accounts:  newAccounts(cfg.Name, deps.Agents, f.Hosts, deps.Registry),
 		registry:  deps.Registry,
+		shutdown:  shutdown.New(deps.Registry),
 		log:       logging.For("entry"),
 	}
 	if holder, ok := f.(leaseHolder); ok {
@@ -192,6 +195,7 @@
 	deps.Store.RegisterMetrics(deps.Registry)
 	e.chain = attempt.New(cfg.Attempt, f, deps.Transport, deps.Registry)
 	e.chain = ceiling.New(e.chain, e.ceilings)
+	e.chain = e.shutdown.Wrap(e.chain)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
 	e.chain = freshness.New(e.chain, deps.MaxKeyAge)
 	if routed {
@@ -219,6 +223,26 @@
 	}
 }
 
+// BeginShutdown starts draining by a plan: the entry is no longer ready, and accepts only
+// requests that can be expected to end in time.
+func (e *Entry) BeginShutdown(p shutdown.Plan) {
+	e.shutdown.Begin(p)
+	e.stopping.Store(true)
+	e.log.WithField("running", e.shutdown.Running()).Info("draining: not ready for new callers")
+}
+
+// RunningRequests returns the number of requests that were accepted and have not ended.
+func (e *Entry) RunningRequests() int { return e.shutdown.Running() }
+
+// EndRequests ends the requests that still run. Their callers get a response that says so, or
+// see the response that has begun break off.
+func (e *Entry) EndRequests() {
+	if n := e.shutdown.Running(); n > 0 {
+		e.log.WithField("running", n).Warn("requests end because the grace period is over")
+	}
+	e.shutdown.End()
+}
+
 // Register adds all routes of the entry to an HTTP server.
 func (e *Entry) Register(s *echo.Echo) {
 	s.GET("/readyz", e.serveReady)
@@ -292,9 +316,9 @@
 		return nil
 	}
 	p := asProblem(err)
-	if e.cfg.RetryElsewhereAfter > 0 && p.CanRetryElsewhere() && p.Reason != problem.ReasonEntryCutOff {
-		// The refusal of an entry that is cut off already has the time after which
-		// callers are directed to other entries.
+	if e.cfg.RetryElsewhereAfter > 0 && p.CanRetryElsewhere() && p.Reason != problem.ReasonEntryCutOff && p.Reason != problem.ReasonStopping {
+		// The refusals of an entry that is cut off or stopping already have the time after
+		// which others take the request.
 		p = p.WithRetryAfter(e.cfg.RetryElsewhereAfter)
 	}
 	p.RequestID = r.ID
--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -219,7 +219,10 @@
 	}()
 	result := j.readResponse(ctx, u, func(ctx context.Context) Result { return j.exchange.Send(ctx, u, j.state.Attempts, j) })
 	for {
-		if result.Err == nil && errors.Is(ctx.Err(), context.Canceled) {
+		if isStopping(ctx) {
+			// No attempt follows.
+			j.state.Deadline = time.Now()
+		} else if result.Err == nil && errors.Is(ctx.Err(), context.Canceled) {
 			result.Err = problem.New(problem.ReasonCallerGone, "")
 		}
 		if result.Err != nil {
@@ -271,7 +274,7 @@
 	j.silenceTimer = time.AfterFunc(j.silenceTimeout(), cancel)
 	defer j.silenceTimer.Stop()
 	result := step(ctx)
-	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	timedOut, stopped := errors.Is(ctx.Err(), context.DeadlineExceeded), isStopping(ctx)
 	cancel()
 	watcher.Wait()
 	switch {
@@ -284,6 +287,9 @@
 		// The connection's own error is only a consequence of the deadline.
 		result.Refusal.Detail = timeLimitDetail
 	}
+	if result.Refusal != nil && stopped {
+		result.Refusal.Detail = pipe.ErrStopping.Error()
+	}
 	return j.recordRefusal(result)
 }
 
@@ -308,6 +314,9 @@
 	return j.recordRefusal(j.exchange.QueryStatus(ctx, u, j.state.Attempts))
 }
 
+// isStopping reports whether a request's context has ended because the entry has to end.
+func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), pipe.ErrStopping) }
+
 // timeLimitDetail is the detail of an attempt that ended at the request's deadline.
 const timeLimitDetail = "the request's time limit has passed"
 
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/acaciaglade/acaciaglade/pkg/decisionlog"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
@@ -91,6 +93,9 @@
 	FirstDecisions []decisionlog.Decision
 }
 
+// ErrStopping is the cause of a context that ends because the entry has to end.
+var ErrStopping = errors.New("the entry is stopping; send the request to another one")
+
 // maxFirstDecisions is the length of Request.FirstDecisions. It leaves several decisions
 // for each attempt.
 const maxFirstDecisions = 24
