Show that a response whose head breaks off never looks whole

Operators of similar systems report a 200 with an empty or short body, framed as whole, after an upstream had stopped within the head of its response.

--- a/pkg/agent/upstream_test.go
+++ b/pkg/agent/upstream_test.go
@@ -135,3 +135,31 @@
 		t.Errorf("got error %v, want errNotSent", err)
 	}
 }
+
+// TestBrokenHeadIsNoResponse guards against a response with an empty body that looks whole,
+// because the upstream stopped within the head and closed or reset the connection. It covers
+// each byte at which a head can end.
+func TestBrokenHeadIsNoResponse(t *testing.T) {
+	for _, tc := range []struct {
+		head  string
+		model bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", true},
+		{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 15\r\n\r\n", false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 15\r\nContent-Type: text/plain\r\n\r\n", false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", false},
+	} {
+		for _, informational := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"} {
+			for cut := range len(tc.head) + 1 {
+				url, _ := rawUpstream(t, informational+tc.head[:cut])
+				out := &recorder{}
+				_, _, err := newUpstreamClient(url, tc.model).call(t.Context(), &api.AttemptRequest{Method: "GET", Path: "/", Idempotent: true}, out, &bytes.Buffer{})
+				if err == nil || len(out.parts) > 0 {
+					t.Errorf("%q: got parts %q and error %v", tc.head[:cut], out.parts, err)
+				}
+			}
+		}
+	}
+}
