Write the operators' table after a restore though its watch ends

Operators lost their table for good if the store came back from a copy and the watch that reported it ended within 1.5 s.

Cause: the write was bound to the context of that watch. It is bound to the table's now.

--- a/pkg/tablestore/platform.go
+++ b/pkg/tablestore/platform.go
@@ -40,15 +40,16 @@
 
 // watchOnce runs one watch until it ends, or until a version that it reported could not be
 // read. onEvent is called at each event, until such a version.
-func (s *Store) watchOnce(ctx context.Context, onEvent func()) error {
-	ctx, cancel := s.watchContext(ctx)
+func (s *Store) watchOnce(parent context.Context, onEvent func()) error {
+	ctx, cancel := s.watchContext(parent)
 	defer cancel()
 	unreadable := false
 	err := s.objects.Watch(ctx, HeadKind, func(e objects.Event) {
 		s.recordPlatformCall(nil)
 		if e.Type == objects.Restored {
 			onEvent()
-			go s.restoreStored(ctx)
+			// The watch may end before the table is written.
+			go s.restoreStored(parent)
 			return
 		}
 		if err := s.applyObject(ctx, e.Object); err != nil {
