Don't take brackets of a broken object for the end of its list

Running entries kept their list and no longer followed it. More than 16 objects that are cut off did the same.

Change: after an object, the end of a list counts only if the rest of the document can follow it; otherwise the next object is sought. The search is bounded by the bytes that it scans.

The two new elements of TestInvalidElementKeepsTheOthers failed before, and so did TestManyInvalidElementsKeepTheOthers.

--- a/pkg/rawjson/rawjson.go
+++ b/pkg/rawjson/rawjson.go
@@ -17,11 +17,11 @@
 // ErrMalformed means that the structure of a document can't be recognised.
 var ErrMalformed = errors.New("the document is not the expected JSON; look at its writer")
 
-// Limits of the search for the end of an element with a syntax error. Each step scans at most
-// the rest of the document.
+// Limits of the search for the end of an element with a syntax error.
 const (
-	// maxRecoveries is the number of such elements in one document.
-	maxRecoveries = 16
+	// maxRecoveryBytes is the number of bytes that are scanned in vain in one document. Each
+	// such element costs at most the rest of the document.
+	maxRecoveryBytes = 64 << 20
 	// maxTailTries is the number of brackets that are tried as the end of an array whose last
 	// element has a syntax error.
 	maxTailTries = 16
@@ -123,10 +123,12 @@
 	}
 	// prefix is how the elements begin, nil until one without an error was found.
 	var prefix []byte
-	for recoveries := 0; at < len(doc); {
+	for scanned := 0; at < len(doc); {
 		end, ok := scanValue(doc, at)
 		next := skipSpace(doc, end)
-		if ok && next < len(doc) && (doc[next] == ',' || doc[next] == ']') {
+		// The brackets of an object with a syntax error can look like the end of the array.
+		isEnd := func() bool { return doc[next] == ']' && (doc[at] != '{' || isTail(next+1)) }
+		if ok && next < len(doc) && (doc[next] == ',' || isEnd()) {
 			elements = append(elements, bytes.Clone(doc[at:end]))
 			if prefix == nil {
 				prefix = firstKey(doc, at)
@@ -137,7 +139,7 @@
 			at = skipSpace(doc, next+1)
 			continue
 		}
-		if recoveries++; recoveries > maxRecoveries {
+		if scanned += end - at; scanned > maxRecoveryBytes {
 			return elements, at, false
 		}
 		comma, next := findElement(doc, at+1, cmp.Or(string(prefix), string(firstKey(doc, at)), "{"))
--- a/pkg/rawjson/rawjson_test.go
+++ b/pkg/rawjson/rawjson_test.go
@@ -32,6 +32,8 @@
 	"deep and cut off":        `{"metadata":{"name":"invalid"},"spec":` + strings.Repeat("[", 1_000_000),
 	"a text of a million":     `{"metadata":{"name":"invalid"},"spec":"` + strings.Repeat("x", 1_000_000) + `"}`,
 	"a key without a value":   `{"metadata":{"name":"invalid"},"spec"}`,
+	"the end of a document":   `{"metadata":{"name":"invalid"},"spec":"state":"ready"}]}}`,
+	"the end of two lists":    `{"metadata":{"name":"invalid"},"spec":1}]},{"a":[2]}]}}`,
 	"without the last quotes": `{"metadata":{"name":"invalid"},"spec":{"state":"ready}}`,
 }
 
@@ -67,6 +69,30 @@
 	}
 }
 
+// TestManyInvalidElementsKeepTheOthers guards against a list that can't be read because many of
+// its elements are cut off.
+func TestManyInvalidElementsKeepTheOthers(t *testing.T) {
+	for name, invalid := range invalidElements {
+		if len(invalid) > 1000 || !strings.HasPrefix(invalid, "{") {
+			continue
+		}
+		var list []string
+		for i := range 300 {
+			list = append(list, invalid, fmt.Sprintf(`{"metadata":{"name":"good-%d"}}`, i))
+		}
+		elements, members, err := SplitList([]byte(`{"items":[`+strings.Join(list, ",")+`],"more":false}`), "items")
+		good := 0
+		for _, e := range elements {
+			if bytes.HasPrefix(e, []byte(`{"metadata":{"name":"good-`)) && bytes.HasSuffix(e, []byte(`}}`)) {
+				good++
+			}
+		}
+		if err != nil || good != 300 || string(members["more"]) != "false" {
+			t.Errorf("%s: %d good elements of %d, members %q, %v", name, good, len(elements), members, err)
+		}
+	}
+}
+
 // TestMembersOfBrokenObject reads the members before a syntax error: they tell whose object it is.
 func TestMembersOfBrokenObject(t *testing.T) {
 	for name, invalid := range invalidElements {
