--- a/lab/soak/stop_test.go
+++ b/lab/soak/stop_test.go
@@ -47,7 +47,6 @@
 	d.checker.mu.Lock()
 	d.checker.cut = nil
 	d.checker.mu.Unlock()
-	// A restart would free the port for callers.
 	d.entries[0].signal(syscall.SIGTERM)
 	var sending sync.WaitGroup
 	for i, c := range callers {
--- a/pkg/storeview/storeview_test.go
+++ b/pkg/storeview/storeview_test.go
@@ -49,7 +49,6 @@
 type simulatedWatch struct {
 	views *Views
 	r     *rand.Rand
-	bound time.Duration
 	// lost reports whether an answer that is due at a time is lost.
 	lost func(at clock.BootTime) bool
 	// maxDelay is how late an answer may be.
@@ -89,7 +88,7 @@
 		end := clock.BootTime(2 * time.Minute)
 		single := r.IntN(2) == 0
 		var lostFrom, lostUntil, lastLost clock.BootTime
-		w := &simulatedWatch{views: New(0).withBound("k", bound), r: r, bound: bound, maxDelay: []time.Duration{5 * time.Millisecond, 250 * time.Millisecond}[r.IntN(2)]}
+		w := &simulatedWatch{views: New(0).withBound("k", bound), r: r, maxDelay: []time.Duration{5 * time.Millisecond, 250 * time.Millisecond}[r.IntN(2)]}
 		for at := clock.BootTime(0); at < end; at += clock.BootTime(r.Int64N(int64(8 * time.Second))) {
 			w.changes = append(w.changes, at)
 		}
