--- a/pkg/filter/shutdown/shutdown.go
+++ b/pkg/filter/shutdown/shutdown.go
@@ -70,13 +70,6 @@
 	}
 }
 
-// IsStopping reports whether a stop has begun.
-func (f *Filter) IsStopping() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.plan != nil
-}
-
 // Running returns the number of accepted requests that have not ended.
 func (f *Filter) Running() int {
 	f.mu.Lock()
