Don't take a reset that the write of the request met for the end

Callers saw a response that had been broken off end as a complete one: a stream after its first event, or a part of a body, with status 200 and proper framing.

Cause: Linux reports the reset of a connection to one system call only. A request above 16 KiB is written in the background, as the upstream may respond before it has read all of it. If the connection is reset while that write waits, either the write or the read gets the error. If the write does, the read returns a plain end, which ends a response that has neither a length nor chunks. The result of the write was looked at only to decide whether the connection is kept.

Change: at the end of such a response the result of the write counts as well. A write that still runs is ended first. An error other than the one that follows a close by the upstream makes the response incomplete.

--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -95,12 +96,39 @@
 // is incomplete.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.response.Body.Read(b)
+	if errors.Is(err, io.EOF) && x.EndsWithConnection() {
+		if endErr := x.connectionError(); endErr != nil {
+			return n, endErr
+		}
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
 	return n, errors.WithStack(err)
 }
 
+// connectionError returns the error with which the connection has ended, or nil if the upstream
+// has closed it. The system reports such an error only once: if writing the request gets it,
+// reading sees a plain end.
+func (x *Exchange) connectionError() error {
+	var err error
+	select {
+	case err = <-x.writeResult:
+	default:
+		// The upstream has ended its response, so the rest of the request is of no use.
+		if err := x.conn.SetWriteDeadline(time.Now()); err != nil {
+			return errors.WithStack(err)
+		}
+		err = <-x.writeResult
+	}
+	x.writeResult <- err
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		// EPIPE follows a close by the upstream.
+		return nil
+	}
+	return errors.Wrap(err, "the connection broke while the request was written")
+}
+
 // Release returns the connection to the pool after the body was read to its end. It closes
 // the connection if it can't be reused, also by the next request of the same kind.
 func (x *Exchange) Release() {
--- a/pkg/connpool/pool_test.go
+++ b/pkg/connpool/pool_test.go
@@ -350,3 +350,43 @@
 		t.Errorf("%d connections were opened, want %d; %d are kept", got, opened, len(p.idle[u.Addr().String()]))
 	}
 }
+
+// TestResetDuringRequestIsNoPlainEnd guards against a response without length that is reset while
+// its request is still being written, and counts as whole: the kernel reports the reset to the
+// write, and the end of the connection to the read.
+func TestResetDuringRequestIsNoPlainEnd(t *testing.T) {
+	const exchanges = 100
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1<<10))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nthe first half")
+			time.Sleep(2 * time.Millisecond)
+			// Unread bytes of the request reset the connection.
+			c.Close()
+		}
+	}()
+	p, whole := newTestPool(), 0
+	for range exchanges {
+		req := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Host: "h", Header: http.Header{}}
+		x, err := p.Send(t.Context(), l.Addr().String(), req, make([]byte, 16<<20), Options{})
+		if err != nil {
+			continue
+		}
+		if _, err := io.ReadAll(x); err == nil {
+			whole++
+		}
+		x.Discard()
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d responses that were reset count as whole", whole, exchanges)
+	}
+}
