Log which responses only the end of their connection ends

On-call engineers can't tell from logs whether a response that a caller calls broken had a length: without one, an upstream that ends by itself and one that has sent everything look the same. The request's log line has without_length now, set only for such responses.

No decision depends on the field.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -354,6 +354,9 @@
 		fields["first_part_ms"] = r.FirstPartAt.Sub(r.ReceivedAt).Milliseconds()
 		fields["longest_pause_ms"] = r.LongestPause.Milliseconds()
 	}
+	if r.WithoutLength {
+		fields["without_length"] = true
+	}
 	if p != nil || len(r.TriedUpstreams) > 1 {
 		fields["decisions"] = formatDecisions(r.FirstDecisions)
 	}
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -83,6 +83,9 @@
 	// two parts.
 	LastPartAt   time.Time
 	LongestPause time.Duration
+	// WithoutLength is true if the latest response of an upstream has neither a length nor
+	// chunks, so that only the end of its connection ends it.
+	WithoutLength bool
 	// QueueTime is how long the request has been queued, over all attempts.
 	QueueTime time.Duration
 	// Reply receives the response.
