Don't resume a stream with events whose IDs are no numbers

Callers could get a stream that ends as complete although what follows after the break proves nothing: an upstream that resumed the stream began with an event whose ID is no number, is negative or is empty.

Cause: such an ID was compared with nothing. An event without an ID field was rejected there, one with any other ID was not.

Change: the first event of a response that continues another one has to have a numeric ID, as the last one before it had.

Not seen at users; found by reading.

--- a/pkg/stream/events.go
+++ b/pkg/stream/events.go
@@ -17,7 +17,8 @@
 	ErrEventOrder   = errors.New("an event comes again or out of order; drop the connection and resume after the last one")
 	ErrEventMissing = errors.New("the stream skips an event; drop the connection and resume after the last one")
 	// ErrForeignEvent means that something else follows in a stream: an event without ID after
-	// those with IDs, or fields that no event has, such as those of another response.
+	// those with IDs, another response that begins with an ID which is no number, or fields that
+	// no event has, such as those of another response.
 	ErrForeignEvent = errors.New("the stream goes on with something that is no event of it; drop the connection and resume after the last one")
 	ErrEventCut     = errors.New("the stream ends within an event; resume after the last whole one")
 	ErrNoEvent      = errors.New("the connection ends before the first event; send the request again")
@@ -176,10 +177,13 @@
 }
 
 // checkID checks that numeric IDs increase, and that a response which continues another one
-// skips none.
+// begins with such an ID and skips none.
 func (e *EventSplitter) checkID(id string) error {
 	previous, errPrevious := strconv.ParseUint(e.lastID, 10, 64)
 	current, errCurrent := strconv.ParseUint(id, 10, 64)
+	if errCurrent != nil && e.current == 0 && e.total > 0 {
+		return ErrForeignEvent
+	}
 	if errPrevious != nil || errCurrent != nil {
 		return nil
 	}
