Request what names the limit in the test of operators' views

The table was written again in all of them.

Cause: in the test. The upstream names its limit in responses to plain requests, and the test sent requests of any kind, one at a time.

Evidence: the logs of the run that failed. The store's calls of both entries got no answer for 2.6 s; two other deployments on the machine had gaps of 1.1 to 4.1 s in the same seconds. Then the first request was refused (no open group, as the list of upstreams was that of before) and its caller waited to send it again, two streams took 0.5 s each, and the fourth request was the first plain one, after the 5 s. Entry 0 logged the limit with its response, entry 1 in the same second.

Change: the test sends plain requests. Its bounds and checks are as before.

--- a/lab/soak/operators_test.go
+++ b/lab/soak/operators_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -157,7 +158,10 @@
 				t.Logf("%v\n%s", args, out)
 				return
 			}
-			c.sendRandom()
+			// Only responses of the plain upstream name its limit.
+			ctx, cancel := context.WithTimeout(t.Context(), callerTimeout)
+			c.send(ctx, pathStatus, false, false, callerTimeout)
+			cancel()
 			time.Sleep(50 * time.Millisecond)
 		}
 		t.Errorf("%v at entry %d does not show %q:\n%s", args, entry, text, out)
