Don't let a late tick take back what an allowance has grown

Cause: a tick has the time at which it was due. If the process doesn't get to run, it is processed after requests that came later, and the time goes back: the allowance, and the demand that is added up, fell by the rate times that gap. The next event added them again, but nothing if it came more than 250 ms after the time of the tick.

Evidence: traces of the entries' parts. In one an allowance fell from 0.48 to -1.34 while no request was sent, and none was sent for some seconds. Of 26 traces 18 have such steps back, up to 7 in 18 s.

Change: a time before that of the last call changes nothing.

That an allowance doesn't grow over gaps above 250 ms is as before.

--- a/pkg/sendlimit/allowance.go
+++ b/pkg/sendlimit/allowance.go
@@ -57,9 +57,13 @@
 
 // advance lets the allowance grow up to now: to saved, or to a whole request while one is
 // wanted. limit is the number of requests per second that the upstream takes from all
-// entries.
+// entries. A time before that of the last call changes nothing: a tick may be processed after
+// events that came later.
 func (a *allowance) advance(limit, saved float64, now time.Time) {
 	gap := now.Sub(a.advancedAt)
+	if gap <= 0 {
+		return
+	}
 	a.advancedAt = now
 	rate := a.Rate(now)
 	full, demand := saved, 0.0
--- a/pkg/sendlimit/schedule_test.go
+++ b/pkg/sendlimit/schedule_test.go
@@ -250,3 +250,36 @@
 		}
 	}
 }
+
+// TestLateTickTakesNothingBack guards against an entry that gets far less than its part beside
+// busy processes: a tick that was due before a request arrived, and is processed after it, took
+// back what the allowance had grown since.
+func TestLateTickTakesNothingBack(t *testing.T) {
+	const (
+		length = 60 * time.Second
+		lateBy = 400 * time.Millisecond
+		// Of two entries that have leased nothing, each may send half of the limit.
+		limit = 2.0
+	)
+	table := New("entry0", 1)
+	table.SetEntryCount(2)
+	table.Observe(&Notice{Key: upstreamKey, Limited: true, Rate: limit, SentAt: start, ReceivedAt: start})
+	sent := 0
+	for after := time.Duration(0); after < length; after += tick {
+		now := start.Add(after)
+		table.Tick(now)
+		for table.Allows(upstreamKey, now) {
+			table.Spend(upstreamKey, now)
+			sent++
+		}
+		if after%(25*tick) == 0 {
+			table.Tick(now.Add(-lateBy))
+		}
+	}
+	if want := int(0.9 * limit / 2 * length.Seconds()); sent < want {
+		t.Errorf("%d requests in %v, want %d", sent, length, want)
+	}
+	if most := int(limit/2*length.Seconds()) + 1; sent > most {
+		t.Errorf("%d requests in %v, want at most %d", sent, length, most)
+	}
+}
