Report an entry's demand for a limit up to the lease request

Cause: demand is added up at each tick, but a lease request divides it by the time since the request before. Ticks come every 20 ms or later, requests every 250 ms, so a constant demand of 2.0 was reported as 1.9 to 2.1, or 0.9 to 6.7 beside busy processes. The parts followed: each move leaves the part unused until its former holder has confirmed it and the next one has asked, up to 0.5 s.

Change: the demand is added up to the time of the request first.

TestSteadyDemandKeepsParts failed for all eight sizes with 0.97 to 0.98 of the limit, and has 0.99 or more now. The rest is lost while entries don't get to run for more than 250 ms, and while none of their requests waits.

--- a/pkg/sendlimit/schedule_test.go
+++ b/pkg/sendlimit/schedule_test.go
@@ -283,3 +283,46 @@
 		t.Errorf("%d requests in %v, want at most %d", sent, length, most)
 	}
 }
+
+// TestSteadyDemandKeepsParts guards against entries that exchange parts of a limit all the time
+// although requests wait at all of them, so that some of the limit is always on its way and
+// unused. Ticks of a busy process are late, and leases are requested between them.
+func TestSteadyDemandKeepsParts(t *testing.T) {
+	const (
+		settle     = 5 * time.Second
+		length     = 25 * time.Second
+		resolution = time.Millisecond
+	)
+	for _, size := range scheduleSizes {
+		s := newSchedule(1, size.entries, size.limit)
+		ticks, leases := make(map[string]time.Duration), make(map[string]time.Duration)
+		for _, name := range s.names {
+			leases[name] = time.Duration(s.random.Int64N(int64(ceiling.RequestInterval))).Truncate(resolution)
+		}
+		used, rate := 0.0, max(minRate, size.limit)
+		for after := time.Duration(0); after < length; after += resolution {
+			s.now = start.Add(after)
+			for _, name := range s.names {
+				table := s.entries[name].table
+				if after >= ticks[name] {
+					ticks[name] = after + tick + time.Duration(s.random.Int64N(int64(2*tick)))
+					table.Tick(s.now)
+					for table.Allows(upstreamKey, s.now) {
+						table.Spend(upstreamKey, s.now)
+					}
+				}
+				if after%ceiling.RequestInterval == leases[name] {
+					for home, batch := range table.LeaseRequests(s.names, s.now) {
+						table.ApplyGrants(s.entries[home].allocators.Grant(batch, s.now), s.now)
+					}
+				}
+				if after >= settle {
+					used += table.Limits(s.now)[0].OwnRate * resolution.Seconds()
+				}
+			}
+		}
+		if want := 0.99 * rate * (length - settle).Seconds(); used < want {
+			t.Errorf("%d entries, limit %v: the parts sum to %.2f requests in %v, want %.2f", size.entries, size.limit, used, length-settle, want)
+		}
+	}
+}
--- a/pkg/sendlimit/table.go
+++ b/pkg/sendlimit/table.go
@@ -216,6 +216,8 @@
 		}
 		t.setBase(r)
 		r.isHome = ceiling.HomeEntry(key.leaseName(), entries) == t.entry
+		// The request reports the demand up to now.
+		r.allowance.advance(r.effectiveRate(), t.saved(), now)
 		batches.Add(ceiling.BatchItem{LeaseRequest: r.allowance.NextRequest(key.leaseName(), t.entry, now), Ceiling: r.effectiveRate()}, entries)
 	}
 	return batches
