Wait for the table and its pages in the test of operators' views

TestOperatorsSeeLimitsAndRestores failed twice in 21 runs: "the store has the tables [] with the pages [...]". In the first an entry logged "table written again" in that second; the second ended before such a line.

Cause: in the test. It waited until the store has a page, and checked at once for the table, which is written after its pages.

Change: it waits for both, for at most 5 s as before, and checks both as before.

--- a/lab/soak/operators_test.go
+++ b/lab/soak/operators_test.go
@@ -170,10 +170,11 @@
 		shown(entry, "2.5", "limit", "list")
 		shown(entry, "era    2", "store", "show")
 	}
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && len(d.store.Names("tablepages")) == 0; {
+	isStored := func() bool { return len(d.store.Names("tables")) == 1 && len(d.store.Names("tablepages")) > 0 }
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline) && !isStored(); {
 		time.Sleep(50 * time.Millisecond)
 	}
-	if len(d.store.Names("tables")) != 1 || len(d.store.Names("tablepages")) == 0 {
+	if !isStored() {
 		t.Errorf("the store has the tables %v with the pages %v", d.store.Names("tables"), d.store.Names("tablepages"))
 	}
 }
