Test that entries don't confirm a limit all at once

Cause: if the home of a limit has no requests for the service, the other entries confirm the limit, after 30 s or 2n/limit. They learned it at the same time and don't tell each other that they have confirmed it, and while one request is wanted each saves up to a whole one.

Evidence: TestEntriesConfirmLimitApart fails for 17 entries and a limit of 0.2, and passes for the other seven sizes.

Known red, not mended: the other entries need times of their own.

--- a/pkg/sendlimit/schedule_test.go
+++ b/pkg/sendlimit/schedule_test.go
@@ -45,6 +45,9 @@
 	allocators *ceiling.Allocators
 	starts     int
 	busy       bool
+	// noRequests is true if the entry has no requests of the service, not even one that could
+	// confirm the limit.
+	noRequests bool
 	nextLease  time.Time
 }
 
@@ -101,7 +104,7 @@
 			e.nextLease = s.now.Add(ceiling.RequestInterval)
 			s.requestLeases(name)
 		}
-		for e.table.MustConfirm(upstreamKey, s.now) || e.busy && e.table.Allows(upstreamKey, s.now) {
+		for !e.noRequests && (e.table.MustConfirm(upstreamKey, s.now) || e.busy && e.table.Allows(upstreamKey, s.now)) {
 			e.table.Spend(upstreamKey, s.now)
 			s.sent = append(s.sent, s.now)
 			e.table.Observe(&Notice{Key: upstreamKey, Limited: true, Rate: s.limit, SentAt: s.now, ReceivedAt: s.now.Add(time.Millisecond)})
@@ -326,3 +329,18 @@
 		}
 	}
 }
+
+// TestEntriesConfirmLimitApart guards against an upstream that gets a request of each entry at
+// once: the home of its limit has no requests, and all others confirm the limit in its place.
+func TestEntriesConfirmLimitApart(t *testing.T) {
+	for _, size := range scheduleSizes {
+		s := newSchedule(1, size.entries, size.limit)
+		s.entries[ceiling.HomeEntry(upstreamKey.leaseName(), s.names)].noRequests = true
+		for s.now.Sub(start) < 5*time.Minute {
+			s.step()
+		}
+		if err := s.check(); err != nil {
+			t.Errorf("%d entries, limit %v: %v", size.entries, size.limit, err)
+		}
+	}
+}
