Let entries confirm a limit at different times

Cause: the entries learned the limit at the same time, waited for equally long, and don't know of each other's requests.

Change: the interval of each entry but the home is longer by its place among them: by up to the interval itself. Together they send at most half of the limit.

TestEntriesConfirmLimitApart: 16 requests in 4 s before, within the bound now.

--- a/pkg/ceiling/limiter.go
+++ b/pkg/ceiling/limiter.go
@@ -137,6 +137,17 @@
 	return home
 }
 
+// HomeOrder returns how many of the entries would be the home before a given one.
+func HomeOrder(organisation, entry string, entries []string) int {
+	own, before := xxhash.Sum64String(organisation+"/"+entry), 0
+	for _, other := range entries {
+		if xxhash.Sum64String(organisation+"/"+other) > own {
+			before++
+		}
+	}
+	return before
+}
+
 // Allocators holds the allocators of all organisations whose home an entry is.
 type Allocators struct {
 	incarnation string
--- a/pkg/sendlimit/record.go
+++ b/pkg/sendlimit/record.go
@@ -37,6 +37,8 @@
 	allowance *allowance
 	// isHome is true if this entry grants the leases of the limit.
 	isHome bool
+	// place is the number of entries that would be the home before this one.
+	place int
 	// unlistedAt is when the upstream was first missing from the platform's list, zero
 	// while it is listed.
 	unlistedAt time.Time
--- a/pkg/sendlimit/table.go
+++ b/pkg/sendlimit/table.go
@@ -130,15 +130,19 @@
 // should send a request to find out. It sends no second one while the response to the first may
 // still arrive. A limit far below one request per second is left to requests that need it.
 func (t *Table) isUnconfirmed(r *record, now time.Time) bool {
+	n := max(1, t.entries)
 	interval, perSecond := confirmInterval, r.effectiveRate()
 	if !r.isHome {
-		interval, perSecond = otherConfirmInterval, perSecond/float64(2*max(1, t.entries))
+		interval, perSecond = otherConfirmInterval, perSecond/float64(2*n)
 	}
+	interval = max(interval, time.Duration(float64(time.Second)/perSecond))
+	// The other entries don't know of each other's requests, so each has an interval of its own.
+	interval += interval * time.Duration(r.place) / time.Duration(n)
 	latest := r.receivedAt
 	if r.spentAt.After(latest) {
 		latest = r.spentAt
 	}
-	return now.Sub(latest) > max(interval, time.Duration(float64(time.Second)/perSecond))
+	return now.Sub(latest) > interval
 }
 
 // MustConfirm reports whether a request should be sent to a limited upstream, even if others
@@ -215,6 +219,7 @@
 			continue
 		}
 		t.setBase(r)
+		r.place = ceiling.HomeOrder(key.leaseName(), t.entry, entries)
 		r.isHome = ceiling.HomeEntry(key.leaseName(), entries) == t.entry
 		// The request reports the demand up to now.
 		r.allowance.advance(r.effectiveRate(), t.saved(), now)
