Move requests away from a rank that is silent while its group runs

Callers of streams at a rank on a frozen host got nothing until they left. The entries went on to send requests to it, up to all of its slots, because it seemed to have room.

Cause: an entry judged a silent group, but not a silent rank in a group that runs. The only limit was the 1.5 s after which the kernel gives an unacknowledged connection up; callers leave 2 s after the last event, so the attempt that followed came too late. A caller that left released the rank as sound.

Change: a rank is unresponsive if its streams are silent while its group has run passes for 0.6 s, by a clock that stands still while the group does; two requests that have not begun count as well, after four times the typical time to the first part. Its requests move by the existing way of those at slow ranks, within the retry budget, and it gets one request a second until it responds. Changes are logged.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -89,6 +89,8 @@
 	// number of entries is unknown.
 	limitDivisor   int
 	isOutOfService func(upstream, domain string) bool
+	// responseChanges are the changes that ResponseChanges has not returned yet.
+	responseChanges []ResponseChange
 }
 
 // service holds the queues and the upstreams of one service.
@@ -99,6 +101,8 @@
 	// coldPerSecond is the rate that an upstream sustains while cold, 0 for no limit.
 	coldPerSecond float64
 	passes        passMonitor
+	// passClocks measure, by group, for how long it has run passes.
+	passClocks map[string]*passClock
 	// dispatched counts the dispatches within the last sendWindow.
 	dispatched recent.Counter
 	// lastDispatchAt is when this entry last dispatched a request of the service.
@@ -120,6 +124,8 @@
 	// lastPartAt is when the latest part of the response arrived, zero before the
 	// first.
 	lastPartAt time.Time
+	// sentOnClock is the time of its group's passClock at which it was sent.
+	sentOnClock time.Duration
 	// moved is true once RequestsToMove has returned the request.
 	moved bool
 }
@@ -140,7 +146,7 @@
 func (d *Dispatcher) service(name string) *service {
 	s, ok := d.services[name]
 	if !ok {
-		s = &service{queues: newQueues(), waiting: make(map[string]*Request), dispatched: recent.New(sendWindow), groups: make(map[string]groupTotals)}
+		s = &service{queues: newQueues(), waiting: make(map[string]*Request), dispatched: recent.New(sendWindow), groups: make(map[string]groupTotals), passClocks: make(map[string]*passClock)}
 		d.services[name] = s
 	}
 	return s
@@ -275,6 +281,10 @@
 	if !ok {
 		return
 	}
+	clock := a.service.passClock(a.candidate.Group.Name)
+	clock.recordEvent(now)
+	a.candidate.lastPartOnClock = clock.elapsed
+	d.recordResponse(a.candidate)
 	if a.lastPartAt.IsZero() {
 		a.service.passes.recordStart(now)
 		updateAverage(&a.service.typicalFirstPart, now.Sub(a.sentAt))
@@ -302,6 +312,9 @@
 		updateAverage(&s.typicalDuration, now.Sub(a.sentAt))
 	case FailureStalled:
 		s.passes.recordStopped(now)
+		d.recordResponse(a.candidate)
+	case FailureFull, FailureError, FailureReplaced:
+		d.recordResponse(a.candidate)
 	}
 	return d.dispatch(s, now)
 }
@@ -385,7 +398,10 @@
 		d.statements.Spend(chosen.limitKey(), now)
 		s.dispatched.Add(now)
 		s.lastDispatchAt = now
-		d.attempts[it.ID] = &attempt{service: s, candidate: chosen, sentAt: now}
+		if chosen.unresponsive {
+			chosen.nextTrial = now.Add(trialInterval)
+		}
+		d.attempts[it.ID] = &attempt{service: s, candidate: chosen, sentAt: now, sentOnClock: s.passClock(chosen.Group.Name).elapsed}
 		decisions = append(decisions, Decision{ID: it.ID, Upstream: chosen.Upstream, Load: chosen.estimateLoad(now), GroupLoadAge: s.groupLoadAge(chosen.Group.Name, now)})
 	}
 	return decisions
--- a/pkg/dispatch/doc.go
+++ b/pkg/dispatch/doc.go
@@ -7,7 +7,9 @@
 // entries is reported late, and entries that act on the same stale load overload the
 // same upstreams; it is only used to decide whether an upstream, or a group as a whole,
 // has a free slot. All ranks of a group run every forward pass together, so a slow
-// rank gets no requests while any other is healthy.
+// rank gets no requests while any other is healthy. A rank whose streams are silent while
+// its group runs passes is unresponsive: its requests move to other ranks before their
+// callers leave, and it gets one request a second until it responds.
 //
 // Queueing. A request waits at the entry, where it has certainly not run. Requests
 // that can still meet their first-part deadline, the time by which the first part of
--- a/pkg/dispatch/load.go
+++ b/pkg/dispatch/load.go
@@ -193,7 +193,7 @@
 	var best *candidate
 	ties, minLoad := 0, 0.0
 	for _, c := range s.candidates {
-		if fullGroups[c.Group.Name] || anyHealthy && c.isSlow(now) || !c.isUsable() || now.Before(c.avoidUntil) || slices.Contains(r.TriedUpstreams, c.ID) || !d.hasCapacity(s, c, now) || !accept(c.limitKey()) {
+		if fullGroups[c.Group.Name] || anyHealthy && c.isSlow(now) || !c.isUsable() || !c.mayGetRequest(now) || now.Before(c.avoidUntil) || slices.Contains(r.TriedUpstreams, c.ID) || !d.hasCapacity(s, c, now) || !accept(c.limitKey()) {
 			continue
 		}
 		load := float64(c.ownAttempts.current)
--- a/pkg/dispatch/upstream.go
+++ b/pkg/dispatch/upstream.go
@@ -89,7 +89,8 @@
 	FailureBroken
 	// FailureError means that the upstream returned an error of its own.
 	FailureError
-	// FailureSlow means that the request was moved because the upstream is slow.
+	// FailureSlow means that the request was moved because the upstream is slow or
+	// unresponsive.
 	FailureSlow
 )
 
@@ -115,9 +116,16 @@
 	otherAttempts   int
 	otherAttemptsAt time.Time
 	// slowdown is above 1 while the upstream is slow, as reported at slowdownAt.
-	slowdown            float64
-	slowdownAt          time.Time
-	avoidUntil          time.Time
+	slowdown   float64
+	slowdownAt time.Time
+	avoidUntil time.Time
+	// unresponsive is true from unresponsiveAt until the upstream responds again. It gets no
+	// request before nextTrial.
+	unresponsive   bool
+	unresponsiveAt time.Time
+	nextTrial      time.Time
+	// lastPartOnClock is the time of its group's passClock at the latest part of a response.
+	lastPartOnClock     time.Duration
 	consecutiveFailures int
 	// drainingSince is when Draining became true, drainingSource why. They are not set if the
 	// candidate has stated it.
--- a/pkg/fleet/direct.go
+++ b/pkg/fleet/direct.go
@@ -189,6 +189,14 @@
 	for _, id := range f.dispatcher.RequestsToMove(now) {
 		close(f.moveRequests[id])
 	}
+	for _, c := range f.dispatcher.ResponseChanges() {
+		log := f.log.WithFields(logrus.Fields{"upstream": c.Upstream, "attempts": c.Attempts})
+		if c.Responsive {
+			log.Info("upstream responds again")
+			continue
+		}
+		log.Warn("upstream unresponsive while its group runs passes; its requests move to others")
+	}
 }
 
 // apply passes an event to the dispatcher and delivers the resulting decisions.
--- a/pkg/problem/reason.go
+++ b/pkg/problem/reason.go
@@ -109,7 +109,7 @@
 	ReasonStaleKeys:            {http.StatusServiceUnavailable, "The entry can't tell whether the key is still valid", RanNo, "Send the request again; another entry may reach the platform's store.", 1},
 	ReasonGroupStopped:         {http.StatusServiceUnavailable, "The upstream's rank group has stopped", RanNo, "Send the request again after the stated time.", 1},
 	ReasonUpstreamError:        {http.StatusBadGateway, "The upstream answered with an error", RanUnknown, "Send the request again if it is idempotent.", 1},
-	ReasonUpstreamSlow:         {http.StatusBadGateway, "The upstream is slow, and the request was to go on at another one", RanUnknown, "Send the request again; another upstream takes it.", 1},
+	ReasonUpstreamSlow:         {http.StatusBadGateway, "The upstream is slow or unresponsive, and the request was to go on at another one", RanUnknown, "Send the request again; another upstream takes it.", 1},
 	ReasonEntryCutOff:          {http.StatusServiceUnavailable, "The entry can't reach any upstream", RanNo, "Send the request again after the stated time; another entry takes it.", 1},
 	ReasonStopping:             {http.StatusServiceUnavailable, "The entry is stopping", RanNo, "Send the request again; another entry takes it.", 1},
 	ReasonUpstreamLimited:      {http.StatusServiceUnavailable, "The upstreams take no more requests now", RanNo, "Send the request again after the stated time.", 1},
--- a/pkg/retry/names.go
+++ b/pkg/retry/names.go
@@ -22,7 +22,7 @@
 	case EventUpstreamError:
 		return "the upstream answered with an error"
 	case EventMoved:
-		return "the upstream is slow, and another one was acquired"
+		return "the upstream is slow or unresponsive, and another one was acquired"
 	case EventComplete:
 		return "the whole answer was relayed"
 	default:
