--- a/pkg/connpool/pool_test.go
+++ b/pkg/connpool/pool_test.go
@@ -374,10 +374,10 @@
 			c.Close()
 		}
 	}()
-	p, whole := newTestPool(), 0
+	p, body, whole := newTestPool(), make([]byte, 16<<20), 0
 	for range exchanges {
 		req := &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/x"}, Host: "h", Header: http.Header{}}
-		x, err := p.Send(t.Context(), l.Addr().String(), req, make([]byte, 16<<20), Options{})
+		x, err := p.Send(t.Context(), l.Addr().String(), req, body, Options{})
 		if err != nil {
 			continue
 		}
