Notice upstreams that end just after their response

The system closes the connections of a process that ends before its listener, which accepts the entry's connection until then. The address doesn't refuse it, or resets it.

An upstream that resets or closes it has ended. A response whose end stays unproved is continued, sent again or broken off, for all requests that may be repeated. A stream counts as whole if the response that should continue it states by its own end that nothing follows: upstreams that are stopped gracefully close their listener before they have sent everything.

--- a/pkg/connpool/pool.go
+++ b/pkg/connpool/pool.go
@@ -13,11 +13,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/acaciaglade/acaciaglade/pkg/pause"
 )
 
 // ErrNotSent means that no byte of the request was written.
 var ErrNotSent = errors.New("no connection to the upstream; the request was not sent and may be sent elsewhere")
 
+// ErrClosedAtOnce means that an upstream has accepted a connection and closed it before a request.
+var ErrClosedAtOnce = errors.New("the upstream closed a new connection; it is ending, or takes no more connections")
+
 // Config holds the settings of a pool.
 type Config struct {
 	// DialTimeout limits the time to open a connection.
@@ -157,6 +162,23 @@
 	return nil
 }
 
+// ProbeFor does the same as Probe, but watches the connection for a time before it keeps it. It
+// returns ErrClosedAtOnce if the upstream closes it meanwhile: the listener of a process that ends
+// is closed after its connections, and accepts others until then.
+func (p *Pool) ProbeFor(ctx context.Context, address string, d time.Duration) error {
+	c, err := p.acquire(ctx, address, Options{MaxIdle: -1})
+	if err != nil {
+		return err
+	}
+	pause.Sleep(ctx, d)
+	if !isReusable(c.Conn) {
+		c.Close()
+		return errors.WithStack(ErrClosedAtOnce)
+	}
+	p.release(c, p.cfg.MaxIdle)
+	return nil
+}
+
 // acquire returns an idle connection or opens a new one.
 func (p *Pool) acquire(ctx context.Context, address string, opts Options) (*conn, error) {
 	if c := p.takeIdle(address, opts, time.Now()); c != nil {
--- a/pkg/connpool/pool_test.go
+++ b/pkg/connpool/pool_test.go
@@ -390,3 +390,26 @@
 		t.Errorf("%d of %d responses that were reset count as whole", whole, exchanges)
 	}
 }
+
+// TestProbeNoticesEndOfUpstream guards against an upstream that counts as alive because its
+// listener has accepted a connection, which the upstream's end then closes.
+func TestProbeNoticesEndOfUpstream(t *testing.T) {
+	const watch = 50 * time.Millisecond
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The connection waits to be accepted as the listener is closed.
+	time.AfterFunc(watch/5, func() { l.Close() })
+	p := newTestPool()
+	if err := p.ProbeFor(t.Context(), l.Addr().String(), watch); !errors.Is(err, ErrClosedAtOnce) {
+		t.Errorf("the probe of an upstream that ends returned %v", err)
+	}
+	u := newFakeUpstream(t, func(int32) string { return validResponse })
+	if err := p.ProbeFor(t.Context(), u.Addr().String(), watch); err != nil {
+		t.Error(err)
+	}
+	if _, err := send(t, p, u, Options{}); err != nil || u.opened.Load() != 1 {
+		t.Errorf("%v, %d connections; want the probe's connection to be used", err, u.opened.Load())
+	}
+}
--- a/pkg/stream/events.go
+++ b/pkg/stream/events.go
@@ -26,7 +26,7 @@
 	// continue after it.
 	ErrNotResumable = errors.New("the last event has no numeric ID; break the stream off")
 	// ErrNotContinued means that another response to a request has no event, although the
-	// stream had been broken off.
+	// stream had been broken off before its end.
 	ErrNotContinued = errors.New("the stream was resumed and has no further event; resume it elsewhere")
 )
 
@@ -45,6 +45,8 @@
 	gaps bool
 	// lastHasNoID is true if the last whole event had no ID.
 	lastHasNoID bool
+	// doubtfulEnd is true if the last whole event may be the last of the stream.
+	doubtfulEnd bool
 }
 
 // NewEventSplitter returns a splitter of the stream after the event with the given ID, which
@@ -144,7 +146,7 @@
 	case e.total > 0 && !e.lastHasNoID:
 		return ErrForeignEvent
 	}
-	e.lastHasNoID = !hasID
+	e.lastHasNoID, e.doubtfulEnd = !hasID, false
 	e.total++
 	e.current++
 	return nil
@@ -200,6 +202,11 @@
 	return nil
 }
 
+// RecordDoubtfulEnd records that the current response has ended as a whole one does, but perhaps
+// because its upstream has ended. Another response may continue it, or state by its own end that
+// nothing follows.
+func (e *EventSplitter) RecordDoubtfulEnd() { e.doubtfulEnd = true }
+
 // CheckEnd checks that the stream is complete, now that the current response has ended.
 // endsWithConnection states whether only the end of the connection ended the response.
 func (e *EventSplitter) CheckEnd(endsWithConnection bool) error {
@@ -207,7 +214,7 @@
 	// Blank lines between events are no part of one.
 	case len(bytes.Trim(e.partial, "\r\n")) > 0:
 		return ErrEventCut
-	case e.current == 0 && e.total > 0:
+	case e.current == 0 && e.total > 0 && (endsWithConnection || !e.doubtfulEnd):
 		return ErrNotContinued
 	case e.current == 0 && endsWithConnection:
 		// An upstream that ends after the header closes the connection as well.
