Wait until the other entry knows of an end in the test of crashing requests

Cause: in the test. In the log of the failure that entry suspects the request for the second upstream alone before it has the report of the first: it did not know yet, and such copies are allowed for.

--- a/pkg/crashguard/request_test.go
+++ b/pkg/crashguard/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/attempt"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
+	"github.com/acaciaglade/acaciaglade/pkg/quarantine"
 	"github.com/acaciaglade/acaciaglade/pkg/table"
 )
 
@@ -59,6 +61,10 @@
 		if i >= atOnce-1 {
 			// The other entry hears of it.
 			time.Sleep(time.Duration(1+i%3) * 50 * time.Millisecond)
+			other := []*Guard{two, one}[i%2]
+			eventually(t, "the other entry knows of the end", func() bool {
+				return slices.ContainsFunc(other.Standings(), func(s quarantine.Standing) bool { return len(s.Upstreams) >= crashes })
+			})
 		}
 	}
 	if crashes > atOnce+maxTrials {
