review: case 10, a broken second answer is read together with the next one

A faulty replica begins a second copy of an answer, late, on a kept channel. The entry reads its status and the rest of the next answer as one answer: a failure reaches the requester as a success with the replica's seal (rule MIXED).

Nothing is fixed.

--- a/review/standins-2/glued.go
+++ b/review/standins-2/glued.go
@@ -53,9 +53,10 @@
 		}
 		extra = nil
 		if c.isFaulty() && rand.Float64() < c.Extra {
-			// The second answer breaks off in its head.
-			head := bytes.Index(out, []byte("\r\n\r\n"))
-			extra = bytes.Clone(out[:1+rand.IntN(head)])
+			// The second answer breaks off in one of its first two lines, after the status.
+			first := len("HTTP/1.1 200")
+			second := bytes.Index(out, []byte("\r\nContent-Type"))
+			extra = bytes.Clone(out[:first+rand.IntN(second-first)])
 		}
 	}
 }
@@ -99,8 +100,8 @@
 
 // Parameters of the case of a second answer that breaks off.
 const (
-	gluedPerSec   = 150
-	gluedTime     = 100 * time.Second
+	gluedPerSec   = 60
+	gluedTime     = 60 * time.Second
 	gluedReplicas = 5
 	// gluedFaulty of the replicas are faulty, for gluedOn at a time, with as long between.
 	gluedFaulty = 3
@@ -108,7 +109,7 @@
 )
 
 // caseGlued lets the replicas of the plain service begin a second answer after some of their
-// answers, late: as the next answer on the channel is due. It breaks off in its head.
+// answers, late: as the next answer on the channel is due. It breaks off in its first two lines.
 func caseGlued(d *deployment, trouble bool) (bool, string, error) {
 	var list []*plainReplica
 	defer func() {
