--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -83,6 +83,9 @@
 // URL returns the process's base URL.
 func (p *Process) URL() string { return "http://" + p.Address }
 
+// Pid returns the ID of the process.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends the process a signal.
 func (p *Process) Signal(s syscall.Signal) error { return errors.WithStack(p.cmd.Process.Signal(s)) }
 
