Number the tickets of requests instead of using callers' IDs

Callers saw an entry end (400 requests with ten IDs at once: within 0.12 s), for all organisations. Cause: attempts waited for an upstream under the caller's X-Attempt-Id. A second request with the same ID replaced the first one's channel and queue entry; when the first was decided, the second one's entry was nil, and dispatch.selectAmong failed on it in the ticker's goroutine.

Tickets are numbered by the attempt filter now, so no caller can reach another request's state at the fleet, whatever IDs it sends.

The literal tickets in TestMovedResponseIsComplete change from the request's ID to its number, the checks are the same.

--- a/pkg/filter/attempt/attempt.go
+++ b/pkg/filter/attempt/attempt.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,8 @@
 	retries   *prometheus.CounterVec
 	// hedges counts second attempts beside a silent one.
 	hedges *prometheus.CounterVec
+	// lastTicket numbers the tickets of requests.
+	lastTicket atomic.Uint64
 
 	mu      sync.Mutex
 	budgets map[string]Budget
@@ -121,7 +124,7 @@
 		filter:   f,
 		request:  r,
 		exchange: f.transport.Open(r),
-		ticketID: r.ID,
+		ticketID: strconv.FormatUint(f.lastTicket.Add(1), 10),
 		pass:     noPass{},
 		state:    retry.Request{Idempotent: r.Idempotent, Deadline: r.Deadline, MaxAttempts: r.MaxAttempts},
 	}
@@ -209,7 +212,7 @@
 	// may have run.
 	refusal, ranRefusal *api.Refusal
 	// ticketID identifies the current attempt at the fleet. It changes only when the
-	// request moves.
+	// request moves. The request's ID would not do, as callers may send one more than once.
 	ticketID string
 	// pass is the admission of the current or latest attempt.
 	pass Pass
--- a/pkg/filter/attempt/move_test.go
+++ b/pkg/filter/attempt/move_test.go
@@ -85,11 +85,11 @@
 		moveAfter  time.Duration
 		released   []string
 	}{
-		{"moved", []string{"b"}, true, 2, 2500 * time.Millisecond, []string{"r upstream_slow", "r/moved "}},
-		{"no other upstream", nil, true, 2, 2500 * time.Millisecond, []string{"r "}},
-		{"not idempotent", []string{"b"}, false, 2, 2500 * time.Millisecond, []string{"r "}},
-		{"no attempt left", []string{"b"}, true, 1, 2500 * time.Millisecond, []string{"r "}},
-		{"requested after the end", []string{"b"}, true, 2, time.Minute, []string{"r "}},
+		{"moved", []string{"b"}, true, 2, 2500 * time.Millisecond, []string{"1 upstream_slow", "1/moved "}},
+		{"no other upstream", nil, true, 2, 2500 * time.Millisecond, []string{"1 "}},
+		{"not idempotent", []string{"b"}, false, 2, 2500 * time.Millisecond, []string{"1 "}},
+		{"no attempt left", []string{"b"}, true, 1, 2500 * time.Millisecond, []string{"1 "}},
+		{"requested after the end", []string{"b"}, true, 2, time.Minute, []string{"1 "}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
