Read a request's body only once its route and key are known

Callers whose requests no route serves, or who have no key, could fill an entry's memory: the body was read whole before the filters that need only the head.

The body is read by a filter of its own, after route, key and freshness where routes are by host, and after the key otherwise, since the body names the model. An announced length above the limit is refused at once. A connection whose body is long or has no length, and was not read, is closed with the refusal; the server would otherwise read on before it responds.

--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// readRequest validates a request and reads its body before the filters run.
-func (e *Entry) readRequest(c echo.Context, r *pipe.Request) error {
+// checkHead validates the head of a request.
+func (e *Entry) checkHead(c echo.Context, r *pipe.Request) error {
 	if len(r.IdempotencyKey) > maxIdempotencyKeyLength {
 		return problem.New(problem.ReasonBadRequest, "the Idempotency-Key is longer than "+strconv.Itoa(maxIdempotencyKeyLength)+" characters")
 	}
@@ -50,11 +50,7 @@
 		return refusal
 	}
 	r.Timeout = timeout
-	body, refusal := readBody(c, e.cfg.MaxBodyBytes)
-	if refusal != nil {
-		return refusal
-	}
-	r.Body = body
+	r.ReadBody = func() error { return ReadBody(c, r, e.cfg.MaxBodyBytes) }
 	return nil
 }
 
@@ -73,14 +69,36 @@
 	return time.Duration(millis) * time.Millisecond, nil
 }
 
-func readBody(c echo.Context, limit int64) ([]byte, *problem.Problem) {
+// ReadBody reads the body of a caller's request. It returns a *problem.Problem if the body is
+// longer than a limit in bytes, breaks off or is refused by the limits of the process.
+func ReadBody(c echo.Context, r *pipe.Request, limit int64) error {
+	tooLarge := problem.New(problem.ReasonBodyTooLarge, "at most "+strconv.FormatInt(limit, 10)+" bytes")
+	if c.Request().ContentLength > limit {
+		return tooLarge
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, problem.New(problem.ReasonBodyTooLarge, "at most "+strconv.FormatInt(limit, 10)+" bytes")
+	var limitErr *http.MaxBytesError
+	var refusal *problem.Problem
+	switch {
+	case errors.As(err, &limitErr):
+		return tooLarge
+	case errors.As(err, &refusal):
+		return refusal
+	case err != nil:
+		return problem.New(problem.ReasonBadRequest, "the body broke off")
 	}
-	if err != nil {
-		return nil, problem.New(problem.ReasonBadRequest, "the body broke off")
+	r.Body, r.ReadBody = body, nil
+	return nil
+}
+
+// maxUnreadBytes is the length of a body that is discarded so that its connection can be used
+// again after the request was refused.
+const maxUnreadBytes = 64 << 10
+
+// CloseIfUnread makes the connection of a request whose body was not read be closed if the body
+// is long or may have no end. Otherwise the server would read it before it responds.
+func CloseIfUnread(c echo.Context, r *pipe.Request) {
+	if length := c.Request().ContentLength; r.ReadBody != nil && (length < 0 || length > maxUnreadBytes) {
+		c.Response().Header().Set(echo.HeaderConnection, "close")
 	}
-	return body, nil
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -1,9 +1,10 @@
 // Package entry implements the process on an entry host. It builds the filters,
 // receives callers' requests over HTTP and writes the responses.
 //
-// A request passes the filters of package filter in this order: authenticate, route,
+// A request passes the filters of package filter in this order: authenticate, receive, route,
 // freshness, deadline, shutdown, ceiling and attempt. If routes determine which requests need a key,
-// route comes before authenticate.
+// the order begins with route, authenticate, freshness and receive, so that a request's body is read
+// only if its route and key are known.
 package entry
 
 import (
@@ -24,6 +25,7 @@
 	"github.com/acaciaglade/acaciaglade/pkg/filter/ceiling"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/deadline"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/freshness"
+	"github.com/acaciaglade/acaciaglade/pkg/filter/receive"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/route"
 	"github.com/acaciaglade/acaciaglade/pkg/filter/shutdown"
 	"github.com/acaciaglade/acaciaglade/pkg/limitexchange"
@@ -197,12 +199,12 @@
 	e.chain = ceiling.New(e.chain, e.ceilings)
 	e.chain = e.shutdown.Wrap(e.chain)
 	e.chain = deadline.New(e.chain, cfg.Deadline)
-	e.chain = freshness.New(e.chain, deps.MaxKeyAge)
 	if routed {
 		// Whether a request needs a key depends on its route.
-		e.chain = route.New(authenticate.New(e.chain))
+		e.chain = route.New(authenticate.New(freshness.New(receive.New(e.chain), deps.MaxKeyAge)))
 	} else {
-		e.chain = authenticate.New(route.New(e.chain))
+		// The body names the model.
+		e.chain = authenticate.New(receive.New(route.New(freshness.New(e.chain, deps.MaxKeyAge))))
 	}
 	deps.Directory.Subscribe(f.SetIndex)
 	return e
@@ -294,18 +296,20 @@
 	response := relay.New(w, r, c.Request())
 	r.Reply = response
 	return response.Serve(func() *problem.Problem {
-		return e.Serve(c.Request().Context(), r, func() error { return e.readRequest(c, r) })
+		p := e.Serve(c.Request().Context(), r, func() error { return e.checkHead(c, r) })
+		CloseIfUnread(c, r)
+		return p
 	})
 }
 
-// Serve runs a request through the filters, after receive has read it. It returns why
-// the request was refused or its response aborted, nil if the complete response was
+// Serve runs a request through the filters, after checkHead has checked its head. It returns
+// why the request was refused or its response aborted, nil if the complete response was
 // delivered.
-func (e *Entry) Serve(ctx context.Context, r *pipe.Request, receive func() error) *problem.Problem {
+func (e *Entry) Serve(ctx context.Context, r *pipe.Request, checkHead func() error) *problem.Problem {
 	r.Decisions = e.accounts.decisions
 	err := e.admit(r)
 	if err == nil {
-		err = receive()
+		err = checkHead()
 	}
 	if err == nil {
 		err = e.chain.Serve(ctx, r)
--- a/pkg/pipe/pipe.go
+++ b/pkg/pipe/pipe.go
@@ -48,6 +48,9 @@
 	Query       string
 	ContentType string
 	Body        []byte
+	// ReadBody reads the body. The receive filter calls it; nil means that there is no body to
+	// read.
+	ReadBody func() error
 	// IdempotencyKey is the caller's idempotency key, empty if it sent none.
 	IdempotencyKey string
 	// Idempotent is true when the work may be repeated.
