Bound the memory that clients make a process hold, on every listener

Clients that don't behave ended a process: it ran out of memory. 60 bodies of 4 MiB that stop just short of their end took 355 MB, 120 heads with many short lines 925 MB, 60 lists without end at a path for peers 1,855 to 3,231 MB. Causes, one for all shapes: nothing bounded the bytes of all connections together, the default limit of net/http (1 MB) applied to heads instead of the configuration's, no deadline bounded a body that stands still, and some paths decoded bodies without a limit.

All servers are made by server.NewHTTP now, and draw on one gate of the process. A connection is charged for an incomplete head (32 bytes a byte, as a line of a few bytes becomes an entry of a map), for the head and body of its request, and for a buffered response. The charges stay below a quarter of the process's memory (settings, flag or GOMEMLIMIT); the runtime's memory limit is set from it. A quarter of the budget is reserved for clients that hold little. If it does not suffice, clients without a complete request are ended, those that hold most and have stood still longest first; otherwise the charge is refused as intake_full (503, not run). A body must bring 1 KiB in 10 s (408, slow_body), a response of 16 KiB must be read within 10 s. The decisions are in a pure table.

--- a/pkg/cli/agent.go
+++ b/pkg/cli/agent.go
@@ -47,7 +47,7 @@
 	backgroundCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go a.Run(backgroundCtx)
-	return server.Run(ctx, &s.Common, handler, a.Drain)
+	return server.Run(ctx, &s.Common, server.NewGate(s.Resources, registry), handler, a.Drain)
 }
 
 func agentConfig(s *settings.Agent) agent.Config {
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -37,16 +37,17 @@
 	}
 	ctx, stop := server.SignalContext()
 	defer stop()
-	e := newEntry(&c.Entry)
+	registry := prometheus.NewRegistry()
+	e := newEntry(&c.Entry, registry)
 	handler := server.NewEcho()
 	e.Register(handler)
 	backgroundCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.Run(backgroundCtx)
-	return server.Run(ctx, &c.Common, handler, e.Drain)
+	return server.Run(ctx, &c.Common, server.NewGate(c.Resources, registry), handler, e.Drain)
 }
 
-func newEntry(s *settings.Entry) *entry.Entry {
+func newEntry(s *settings.Entry, registry *prometheus.Registry) *entry.Entry {
 	agents := peer.NewAgentClient(s.PeerToken)
 	objectAPI := objects.NewClient(s.ObjectAPI, s.ObjectTimeout)
 	store := tablestore.New(objectAPI, tablestore.Config{Entry: s.Name, WatchTimeout: tablestore.WatchTimeout})
@@ -67,7 +68,6 @@
 			MaxWaitingTotal:   s.MaxWaitingTotal,
 		},
 	}, hosts.NewClient(s.HostList, s.HostsInterval), agents)
-	registry := prometheus.NewRegistry()
 	guard := crashguard.New(crashguard.Config{
 		Entry: s.Name, Seed: maphash.Comparable(maphash.MakeSeed(), s.Name), FingerprintKey: s.PeerToken,
 		Hosts: view.Hosts, Peers: peer.NewEntryClient(s.PeerToken), Store: objectAPI, Registry: registry,
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/acaciaglade/acaciaglade/pkg/intake"
 	"github.com/acaciaglade/acaciaglade/pkg/pipe"
 	"github.com/acaciaglade/acaciaglade/pkg/problem"
 )
@@ -76,6 +77,9 @@
 	if c.Request().ContentLength > limit {
 		return tooLarge
 	}
+	if !intake.MayReceive(c.Request().Context(), c.Request().ContentLength) {
+		return problem.New(problem.ReasonIntakeFull, "")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 	var limitErr *http.MaxBytesError
 	var refusal *problem.Problem
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -91,7 +91,7 @@
 // that another entry may serve the same request.
 func (p *Problem) CanRetryElsewhere() bool {
 	switch p.Reason {
-	case ReasonNotReady, ReasonStaleKeys, ReasonEntryCutOff, ReasonStopping:
+	case ReasonNotReady, ReasonStaleKeys, ReasonEntryCutOff, ReasonStopping, ReasonIntakeFull:
 		return true
 	default:
 		return false
--- a/pkg/problem/reason.go
+++ b/pkg/problem/reason.go
@@ -54,6 +54,8 @@
 	ReasonUpstreamPaused       Reason = "upstream_paused"
 	ReasonPromptQuarantined    Reason = "prompt_quarantined"
 	ReasonRequestQuarantined   Reason = "request_quarantined"
+	ReasonIntakeFull           Reason = "intake_full"
+	ReasonSlowBody             Reason = "slow_body"
 	ReasonInternal             Reason = "internal"
 )
 
@@ -116,6 +118,8 @@
 	ReasonUpstreamPaused:       {http.StatusServiceUnavailable, "The upstreams want no requests for some time", RanNo, "Send the request again after the stated time.", 1},
 	ReasonPromptQuarantined:    {http.StatusServiceUnavailable, "A part of the prompt is kept from upstreams, because they ended as requests with it were to begin", RanNo, "Leave the named part out of the prompt; send the request with it again no sooner than after the stated time.", 60},
 	ReasonRequestQuarantined:   {http.StatusServiceUnavailable, "The request is kept from upstreams, because they ended as it was to run", RanNo, "Don't send this request again before the stated time; ask an operator what is wrong with it.", 60},
+	ReasonIntakeFull:           {http.StatusServiceUnavailable, "The process has no memory for the request now", RanNo, "Send the request again after the stated time; another entry may take it.", 1},
+	ReasonSlowBody:             {http.StatusRequestTimeout, "The body arrives too slowly", RanNo, "Send the request again, and its body without long pauses.", 1},
 	ReasonInternal:             {http.StatusInternalServerError, "An internal error occurred", RanUnknown, "Report the request ID to an operator.", 0},
 }
 
--- a/pkg/server/connection.go
+++ b/pkg/server/connection.go
@@ -44,11 +44,14 @@
 	return errors.Wrap(c.Close(), "the connection to the caller is gone")
 }
 
-// transportConn returns the connection of a request below TLS, or nil.
+// transportConn returns the connection of a request below TLS and limits, or nil.
 func transportConn(ctx context.Context) net.Conn {
 	c, _ := ctx.Value(connKey{}).(net.Conn)
-	if secured, ok := c.(interface{ NetConn() net.Conn }); ok {
-		return secured.NetConn()
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = outer.NetConn()
 	}
-	return c
 }
--- a/pkg/server/server_test.go
+++ b/pkg/server/server_test.go
@@ -17,6 +17,9 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/acaciaglade/acaciaglade/pkg/intake"
 	"github.com/acaciaglade/acaciaglade/pkg/settings"
 )
 
@@ -71,7 +74,7 @@
 	})
 	stopped := make(chan error, 1)
 	go func() {
-		stopped <- Serve(ctx, listener, &settings.Common{TLS: tlsSettings, StopTimeout: time.Minute}, handler, func(context.Context) error {
+		stopped <- Serve(ctx, listener, &settings.Common{TLS: tlsSettings, StopTimeout: time.Minute}, intake.New(intake.Limits{}, prometheus.NewRegistry()), handler, func(context.Context) error {
 			close(draining)
 			return nil
 		})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -22,6 +22,18 @@
 	Key         string `long:"tls-key" env:"ACACIAGLADE_TLS_KEY" description:"PEM file of the certificate's key."`
 }
 
+// Resources holds what a process may use.
+type Resources struct {
+	MemoryMB       int `long:"memory-mb" env:"ACACIAGLADE_MEMORY_MB" default:"0" description:"Memory of the process, in MB. What clients can make it hold is limited to a part of it. 0: a quarter more than GOMEMLIMIT, or 1024 if that is not set."`
+	MaxDescriptors int `long:"max-descriptors" env:"ACACIAGLADE_MAX_DESCRIPTORS" default:"0" description:"Number of descriptors of the process. Connections of clients are limited to a part of it. 0: the limit of the system (ulimit -n)."`
+}
+
+// minMemoryMB is the least memory of a process: several times what it takes at rest.
+const minMemoryMB = 64
+
+// minDescriptors is the least number of descriptors of a process.
+const minDescriptors = 64
+
 // Common holds the settings that both programs have.
 type Common struct {
 	Name          string        `long:"name" env:"ACACIAGLADE_NAME" description:"Name of this host, as in the host list. Required."`
@@ -33,6 +45,7 @@
 	StopTimeout   time.Duration `long:"stop-timeout" env:"ACACIAGLADE_STOP_TIMEOUT" default:"11m" description:"Maximum wait for running requests at a planned stop. Set it above the longest time limit of a request, so that no request is aborted."`
 	DrainDelay    time.Duration `long:"leave-delay" env:"ACACIAGLADE_LEAVE_DELAY" default:"2s" description:"Minimum time for which a draining process still responds, and refuses new work. Set it above the interval of the load balancer's checks for an entry, and to at least the entries' --max-report-age for an agent, after which no entry sends it requests."`
 	ClockError    time.Duration `long:"clock-error" env:"ACACIAGLADE_CLOCK_ERROR" default:"500ms" description:"Maximum difference between the clocks of two hosts."`
+	Resources     Resources     `group:"Resources"`
 	Logs          Logs          `group:"Logs"`
 	TLS           TLS           `group:"TLS"`
 }
@@ -147,6 +160,8 @@
 	c.requirePositive(s.StopTimeout, "stop-timeout")
 	c.require(s.DrainDelay >= 0 && s.DrainDelay < s.StopTimeout, "leave-delay", "give a time of at least 0 and below --stop-timeout")
 	c.require(s.ClockError >= 0, "clock-error", "give a time of at least 0")
+	c.require(s.Resources.MemoryMB == 0 || s.Resources.MemoryMB >= minMemoryMB, "memory-mb", "give 0 or at least 64")
+	c.require(s.Resources.MaxDescriptors == 0 || s.Resources.MaxDescriptors >= minDescriptors, "max-descriptors", "give 0 or at least 64")
 	c.require((s.TLS.Certificate == "") == (s.TLS.Key == ""), "tls-key", "give both --tls-certificate and --tls-key, or neither")
 }
 
