Bound the connections of each listener by the process's descriptors

1,000 clients that connect and send nothing, or half a head, took 1,011 to 1,079 descriptors of a process that may have 400, on every listener. A process without descriptors can neither accept nor open connections, to upstreams or the store.

Beyond the share a client that was refused, an incomplete request from which nothing arrives, the connection that has been idle longest, a request that has been incomplete for longest, or the oldest connection without a request gives way to the new one. Clients that are served never do.

--- a/pkg/intake/limits.go
+++ b/pkg/intake/limits.go
@@ -23,6 +23,12 @@
 	// budgetShare is the share of the memory for what clients send and don't read. Copies of
 	// it that wait for the garbage collector come on top.
 	budgetShare = 0.25
+	// connectionsShare is the share of the memory for connections, and connectionBytes what
+	// one takes: its goroutines, buffers and descriptor.
+	connectionsShare = 0.25
+	connectionBytes  = 32 << 10
+	// fileDescriptors is the number of descriptors that are left for files.
+	fileDescriptors = 200
 )
 
 // Complete returns the limits with the values of the process in place of zeros.
@@ -53,3 +59,10 @@
 
 // budget returns the memory for what clients send and don't read, in bytes.
 func (l Limits) budget() int64 { return int64(budgetShare * float64(l.MemoryBytes)) }
+
+// connections returns the number of connections for a share of the descriptors.
+func (l Limits) connections(share float64) int {
+	sockets := max(l.Descriptors/2, l.Descriptors-fileDescriptors)
+	byMemory := connectionsShare * float64(l.MemoryBytes) / connectionBytes
+	return max(1, int(min(share*float64(sockets), byMemory)))
+}
--- a/pkg/intake/listener.go
+++ b/pkg/intake/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"net"
 	"net/http"
 )
@@ -42,7 +41,7 @@
 func (g *Gate) Listen(inner net.Listener, o Options) *Listener {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &Listener{Listener: inner, Options: o, gate: g, group: g.table.AddGroup(o.Name, math.MaxInt)}
+	return &Listener{Listener: inner, Options: o, gate: g, group: g.table.AddGroup(o.Name, g.limits.connections(o.Share))}
 }
 
 // Accept implements net.Listener. It closes connections that the listener can't take.
