Take a response whose status is none of HTTP as broken

On another system a replica in trouble answered with status 000, and the client got it.

A status outside 100 to 599 makes the exchange fail, and its connection is closed; the request may have run.

--- a/pkg/agent/upstream.go
+++ b/pkg/agent/upstream.go
@@ -164,6 +164,9 @@
 	}
 	resp.Body = http.MaxBytesReader(nil, resp.Body, maxResponseBytes)
 	defer resp.Body.Close()
+	if !httpclient.IsStatus(resp.StatusCode) {
+		return 0, "", errors.Errorf("upstream answered with status %03d, which is none of HTTP; look at the upstream", resp.StatusCode)
+	}
 	if u.isModelEngine && resp.StatusCode == http.StatusTooManyRequests {
 		return 0, "", errBusy
 	}
--- a/pkg/agent/upstream_test.go
+++ b/pkg/agent/upstream_test.go
@@ -166,3 +166,14 @@
 		}
 	}
 }
+
+// TestInvalidStatusIsNoResponse guards against responses whose status is none of HTTP.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		url, _ := rawUpstream(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\nbody")
+		got, _, err := newUpstreamClient(url, false).call(t.Context(), &api.AttemptRequest{Method: "POST", Path: "/"}, &recorder{}, nil)
+		if err == nil {
+			t.Errorf("status %s was passed on as %d", status, got)
+		}
+	}
+}
--- a/pkg/connpool/exchange.go
+++ b/pkg/connpool/exchange.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/acaciaglade/acaciaglade/pkg/httpclient"
 )
 
 // Exchange is a request that was sent and the response to it.
@@ -61,9 +63,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "no answer")
 	}
+	if !httpclient.IsStatus(response.StatusCode) {
+		return nil, errors.Wrapf(errInvalidStatus, "status %03d", response.StatusCode)
+	}
 	return response, x.conn.header.endHeader()
 }
 
+// errInvalidStatus means that the status of a response is none of HTTP.
+var errInvalidStatus = errors.New("the status is none of HTTP, so the bytes are no response; look at the upstream")
+
 // isInformational reports whether another response to the same request follows. None
 // follows a change of the protocol.
 func isInformational(r *http.Response) bool {
