Limit the time in which a coordinator reads from its own rank

Cause: a report without end, for 0.3 s while a pass is held. The agent that coordinates reads its own rank with the context of the whole process, and the HTTP client has no timeout, so the command never had a result; the round could be neither completed nor undone, and as the agent still polled the others, none took over.

What is read from the own rank (report, counts, lists of experts) ends after the time limit of other calls.

--- a/pkg/lockstep/query.go
+++ b/pkg/lockstep/query.go
@@ -205,7 +205,7 @@
 		}
 		out.Outcome = a.orderOwnRank(ctx, o)
 	}
-	status, err := a.engine.Status(ctx)
+	status, err := a.ownStatus(ctx)
 	if err != nil {
 		a.log.WithError(err).Debug("status of the own rank could not be read")
 		if out.Outcome == holdswitch.OutcomeDone && (q.Order == nil || q.Order.Kind == holdswitch.OrderRead) {
@@ -218,7 +218,9 @@
 		out.Picks = a.picksSinceLastQuery(ctx, q.From.Rank)
 	}
 	if q.Held {
-		if held, err := a.engine.HeldExperts(ctx); err == nil {
+		heldCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if held, err := a.engine.HeldExperts(heldCtx); err == nil {
 			out.Held = &held
 		}
 	}
@@ -270,6 +272,8 @@
 // picksSinceLastQuery returns the encoded number of selections of each expert since the
 // previous query from a rank, or nil if there is no count to compare with.
 func (a *Agent) picksSinceLastQuery(ctx context.Context, from int) []byte {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	counts, err := a.engine.Counts(ctx)
 	if err != nil {
 		a.log.WithError(err).Debug("expert selections of the own rank could not be read")
