Charge heads by their fields, and give memory back with each request

An ordinary request of 3 KB that arrives in one segment was charged 32 bytes for each byte, as its body follows the head, so it counted as large and could be refused beside a crowd. A single client could exceed the budget without end where its path has no limit. Requests that overlap on an HTTP/2 connection gave back what they were charged only when none was left. A connection that goes on after the rest of a short body was skipped still counted as refused.

Heads are charged by bytes and lines (below TLS by bytes alone). A single large request may use the reserve, and no more than the budget.

The schedules of the table check the budget without exception now.

--- a/pkg/intake/conn.go
+++ b/pkg/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -15,11 +16,13 @@
 )
 
 const (
-	// headFactor is the memory that a byte of an incomplete head takes at most: a line of a
-	// few bytes becomes an entry of a map.
-	headFactor = 32
-	// fieldBytes is the memory of a field of a complete head, and of its copy for the upstream.
+	// headFactor is the memory that a byte of a head takes, without its fields.
+	headFactor = 4
+	// fieldBytes is the memory of a field of a head, and of its copy for the upstream.
 	fieldBytes = 256
+	// securedFactor is the memory that a byte of a head takes below TLS, where fields can't be
+	// counted: a line of a few bytes becomes an entry of a map.
+	securedFactor = 32
 	// headSlack is the length by which a head may exceed the limit, since the server reads
 	// ahead.
 	headSlack = 4 << 10
@@ -109,7 +112,7 @@
 	if n == 0 {
 		return n, err
 	}
-	switch cause := c.receive(n, time.Now()); cause {
+	switch cause := c.receive(b[:n], time.Now()); cause {
 	case "":
 		return n, err
 	case CauseHeadTooLarge:
@@ -121,11 +124,11 @@
 }
 
 // receive records bytes that have arrived. It returns a cause if nothing more may be read.
-func (c *Conn) receive(n int, now time.Time) Cause {
+func (c *Conn) receive(b []byte, now time.Time) Cause {
 	g := c.listener.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.Receive(c.client, n, now)
+	g.table.Receive(c.client, len(b), now)
 	cause := c.client.cause
 	tooLarge := c.client.headBytes > c.listener.headLimit()+headSlack
 	switch {
@@ -136,7 +139,7 @@
 		return ""
 	case tooLarge:
 		cause = CauseHeadTooLarge
-	case !g.charge(c.client, int64(n)*headFactor, now):
+	case !g.charge(c.client, c.headCost(b), now):
 		cause = CauseMemory
 	default:
 		return ""
@@ -146,6 +149,14 @@
 	return cause
 }
 
+// headCost returns the memory that a part of a head takes.
+func (c *Conn) headCost(b []byte) int64 {
+	if c.listener.TLS {
+		return int64(securedFactor * len(b))
+	}
+	return int64(headFactor*len(b) + fieldBytes*bytes.Count(b, []byte("\n")))
+}
+
 // lingerTime is how long a refused client has to read the refusal. Closing the connection at once
 // would reset it, as there are bytes that were not read.
 const lingerTime = 500 * time.Millisecond
--- a/pkg/intake/doc.go
+++ b/pkg/intake/doc.go
@@ -9,7 +9,7 @@
 // least progress: those from which nothing has arrived for a time, and for a connection that
 // holds little also those that hold more. Only connections without a complete request are
 // ended, so that the refusal of a request can state that it has not run. If that does not make
-// enough room, the charge is refused. A single request that holds much is always allowed.
+// enough room, the charge is refused. A single request that holds much may use all of the budget.
 //
 // Progress. A body must arrive at a least rate, which is far below that of any network.
 //
--- a/pkg/intake/limits.go
+++ b/pkg/intake/limits.go
@@ -19,7 +19,7 @@
 	defaultMemoryBytes = 1 << 30
 	// heapShare is the share of the memory that the runtime may use. The rest is left for the
 	// program itself and for the memory that the runtime has yet to return.
-	heapShare = 0.8
+	heapShare = 0.75
 	// budgetShare is the share of the memory for what clients send and don't read. Copies of
 	// it that wait for the garbage collector come on top.
 	budgetShare = 0.25
--- a/pkg/intake/request.go
+++ b/pkg/intake/request.go
@@ -23,27 +23,28 @@
 			return
 		}
 		hasBody := r.Body != nil && r.Body != http.NoBody
-		if !c.begin(r, !hasBody) {
+		cost, ok := c.begin(r, !hasBody)
+		if !ok {
 			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 			refuse(w, problem.New(problem.ReasonIntakeFull, ""))
-			c.end(!hasBody)
+			c.end(!hasBody, 0)
 			return
 		}
 		if !hasBody {
-			defer c.end(true)
+			defer c.end(true, cost)
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := newBody(c, w, r)
+		b := newBody(c, w, r, cost)
 		defer b.end()
 		r.Body = b
 		next.ServeHTTP(w, r)
 	})
 }
 
-// begin records a request whose head is complete. It returns false if the client was ended, or
-// if the memory of the process does not allow the request.
-func (c *Conn) begin(r *http.Request, received bool) bool {
+// begin records a request whose head is complete, and returns what it was charged. It returns
+// false if the client was ended, or if the memory of the process does not allow the request.
+func (c *Conn) begin(r *http.Request, received bool) (int64, bool) {
 	fields := 0
 	for _, values := range r.Header {
 		fields += len(values)
@@ -51,24 +52,24 @@
 	g, now := c.listener.gate, time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cost := int64(2*c.client.headBytes + fields*fieldBytes)
+	cost := int64(headFactor*c.client.headBytes + fields*fieldBytes)
 	g.table.BeginRequest(c.client, received)
 	if c.client.cause != "" {
-		return false
+		return 0, false
 	}
 	if !g.charge(c.client, cost, now) {
 		g.record(c.listener.Name, CauseMemory, now)
-		return false
+		return 0, false
 	}
-	return true
+	return cost, true
 }
 
-// end records that the handler of a request has returned.
-func (c *Conn) end(complete bool) {
+// end records that the handler of a request has returned, for which the client was charged.
+func (c *Conn) end(complete bool, charged int64) {
 	g := c.listener.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.table.EndRequest(c.client, complete, time.Now())
+	g.table.EndRequest(c.client, complete, charged, time.Now())
 }
 
 // rest records that the response to the last request was written.
@@ -102,14 +103,19 @@
 	progress Progress
 	// remaining is what is left of a body with a length, and negative without one.
 	remaining int64
+	// charged is what the client was charged for the request.
+	charged int64
 	// complete is true once the whole body has arrived.
 	complete bool
 	// refusal is why no more is read.
 	refusal *problem.Problem
 }
 
-func newBody(c *Conn, w http.ResponseWriter, r *http.Request) *body {
-	b := &body{ReadCloser: r.Body, conn: c, control: http.NewResponseController(w), progress: NewProgress(time.Now()), remaining: r.ContentLength}
+func newBody(c *Conn, w http.ResponseWriter, r *http.Request, charged int64) *body {
+	b := &body{
+		ReadCloser: r.Body, conn: c, control: http.NewResponseController(w), progress: NewProgress(time.Now()),
+		remaining: r.ContentLength, charged: charged,
+	}
 	b.setDeadline(b.progress.Deadline(time.Now()))
 	return b
 }
@@ -130,9 +136,11 @@
 	}
 	complete := !b.complete && (b.remaining == 0 || errors.Is(err, io.EOF))
 	slow := errors.Is(err, os.ErrDeadlineExceeded) || !complete && !b.complete && !b.progress.Record(n, now)
-	if b.refusal = b.conn.receiveBody(n, complete, slow, now); b.refusal != nil {
+	cost := int64(n * b.conn.listener.BodyFactor)
+	if b.refusal = b.conn.receiveBody(cost, complete, slow, now); b.refusal != nil {
 		return 0, b.refusal
 	}
+	b.charged += cost
 	if complete {
 		b.complete = true
 		b.setDeadline(time.Time{})
@@ -148,11 +156,11 @@
 		// The server reads on for the next request, which a stalled body must not delay.
 		b.setDeadline(time.Now().Add(lingerTime))
 	}
-	b.conn.end(b.complete)
+	b.conn.end(b.complete, b.charged)
 }
 
-// receiveBody records bytes of a body. It returns a refusal if no more may be read.
-func (c *Conn) receiveBody(n int, complete, slow bool, now time.Time) *problem.Problem {
+// receiveBody charges the client for bytes of a body. It returns a refusal if no more may be read.
+func (c *Conn) receiveBody(cost int64, complete, slow bool, now time.Time) *problem.Problem {
 	g := c.listener.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -162,7 +170,7 @@
 	case slow:
 		g.record(c.listener.Name, CauseSlowBody, now)
 		return problem.New(problem.ReasonSlowBody, "")
-	case !g.charge(c.client, int64(n*c.listener.BodyFactor), now):
+	case !g.charge(c.client, cost, now):
 		g.record(c.listener.Name, CauseMemory, now)
 		return problem.New(problem.ReasonIntakeFull, "")
 	}
--- a/pkg/intake/table.go
+++ b/pkg/intake/table.go
@@ -34,7 +34,7 @@
 	progressAt time.Time
 	// begunAt is when the incomplete request began, or the client connected.
 	begunAt time.Time
-	// spent is true once no other request can follow, as the rest of one was not read.
+	// spent is true while no other request can follow, as the rest of one was not read.
 	spent bool
 	// cause is why the client was ended, "" if it was not.
 	cause Cause
@@ -220,8 +220,8 @@
 			}
 		}
 	}
-	if isOnlyLarge {
-		// A single request may take more than the budget, or it could never be served.
+	if isOnlyLarge && missing <= t.reserve {
+		// A single request may also take what is reserved, or it could never be served.
 		return nil, true
 	}
 	weight := func(v *Client) float64 {
@@ -270,9 +270,10 @@
 	c.serving++
 }
 
-// EndRequest records that a request has ended, whose response may still have to be written.
-// complete is true if all of the request had arrived.
-func (t *Table) EndRequest(c *Client, complete bool, now time.Time) {
+// EndRequest records that a request has ended, whose response may still have to be written, and
+// gives back what the client was charged for it. complete is true if all of the request had
+// arrived.
+func (t *Table) EndRequest(c *Client, complete bool, charged int64, now time.Time) {
 	if complete {
 		c.serving--
 	} else {
@@ -281,10 +282,11 @@
 	}
 	c.progressAt = now
 	if c.serving+c.receiving == 0 {
-		c.flushing = true
-		t.Release(c, c.held)
+		// What was charged for the response is given back as well.
+		c.flushing, charged = true, c.held
 	}
+	t.Release(c, charged)
 }
 
-// Rest records that no request of the client is left.
-func (*Table) Rest(c *Client, now time.Time) { c.flushing, c.progressAt = false, now }
+// Rest records that no request of the client is left, and that others may follow.
+func (*Table) Rest(c *Client, now time.Time) { c.flushing, c.spent, c.progressAt = false, false, now }
--- a/pkg/intake/table_test.go
+++ b/pkg/intake/table_test.go
@@ -91,18 +91,36 @@
 	}
 }
 
-// TestSingleLargeRequestIsReceived guards against a budget that is too small for a request which
-// the configuration allows.
-func TestSingleLargeRequestIsReceived(t *testing.T) {
-	table := NewTable(1 << 20)
+// TestSingleLargeRequestMayUseTheWholeBudget guards against a reserve that keeps a request from
+// being served which the configuration allows, and against a single one that takes more.
+func TestSingleLargeRequestMayUseTheWholeBudget(t *testing.T) {
+	const budget = 16 << 20
+	table := NewTable(budget)
 	g := table.AddGroup("callers", 10)
 	receiving(t, table, g, 10<<10, begin)
-	c := receiving(t, table, g, 8<<20, begin)
-	if other := mustOpen(t, table, g, begin); table.MayCharge(other, 8<<20, begin) {
-		t.Error("two large requests are received at once")
+	c := receiving(t, table, g, budget-64<<10, begin)
+	if other := mustOpen(t, table, g, begin); table.MayCharge(other, 1<<20, begin) {
+		t.Error("another large request is received beside it")
+	}
+	if ok, _ := table.Charge(c, 1<<20, begin); ok {
+		t.Error("the request took more than the budget")
 	}
-	if ok, _ := table.Charge(c, 8<<20, begin); !ok {
-		t.Error("the only large request can't go on")
+}
+
+// TestRequestsOfOneConnectionGiveBackTheirOwn guards against a connection with several requests at
+// once that keeps the memory of those which have ended.
+func TestRequestsOfOneConnectionGiveBackTheirOwn(t *testing.T) {
+	table := NewTable(1 << 20)
+	g := table.AddGroup("callers", 10)
+	c := mustOpen(t, table, g, begin)
+	for range 1000 {
+		table.BeginRequest(c, true)
+		if ok, _ := table.Charge(c, 10<<10, begin); !ok {
+			t.Fatal("requests that have ended are still charged")
+		}
+		if c.serving > 2 {
+			table.EndRequest(c, true, 10<<10, begin)
+		}
 	}
 }
 
@@ -136,7 +154,7 @@
 	rest := func(at time.Duration) *Client {
 		c := receiving(t, table, g, 1, begin)
 		table.CompleteRequest(c)
-		table.EndRequest(c, true, after(at))
+		table.EndRequest(c, true, 0, after(at))
 		table.Rest(c, after(at))
 		return c
 	}
@@ -163,7 +181,7 @@
 	g := table.AddGroup("callers", 1)
 	c := receiving(t, table, g, 1, begin)
 	table.CompleteRequest(c)
-	table.EndRequest(c, true, begin)
+	table.EndRequest(c, true, 0, begin)
 	if other, _ := table.Open(g, after(stallTime/2)); other != nil {
 		t.Error("the client was ended")
 	}
@@ -172,9 +190,8 @@
 	}
 }
 
-// TestTableInvariants plays random events and checks after each that the budget is kept unless a
-// single client holds much, that what is used is what clients hold, and that no complete request
-// is ended.
+// TestTableInvariants plays random events and checks after each that the budget is kept, that
+// what is used is what clients hold, and that no complete request is ended.
 func TestTableInvariants(t *testing.T) {
 	for seed := range uint64(200) {
 		playTable(t, seed)
@@ -233,7 +250,7 @@
 			}
 		case 3:
 			if active > 0 {
-				table.EndRequest(c, c.serving > 0, now)
+				table.EndRequest(c, c.serving > 0, int64(r.IntN(int(c.held+1))), now)
 				if r.IntN(2) == 0 {
 					table.Rest(c, now)
 				}
@@ -249,7 +266,7 @@
 				used += c.held
 			}
 		}
-		if used != table.used || used > budget && countLarge(g) != 1 || len(g.clients) > limit || len(g.clients) != len(open) {
+		if used != table.used || used > budget || len(g.clients) > limit || len(g.clients) != len(open) {
 			t.Fatalf("seed %d: %d of %d bytes used, counted as %d; %d of %d clients, %d open", seed, used, budget, table.used, len(g.clients), limit, len(open))
 		}
 	}
@@ -262,17 +279,6 @@
 	}
 }
 
-// countLarge returns the number of clients that hold more than an ordinary one.
-func countLarge(g *Group) int {
-	n := 0
-	for c := range g.clients {
-		if c.held > smallBytes && c.cause == "" {
-			n++
-		}
-	}
-	return n
-}
-
 func TestProgress(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -24,7 +24,7 @@
 
 // Resources holds what a process may use.
 type Resources struct {
-	MemoryMB       int `long:"memory-mb" env:"ACACIAGLADE_MEMORY_MB" default:"0" description:"Memory of the process, in MB. What clients can make it hold is limited to a part of it. 0: a quarter more than GOMEMLIMIT, or 1024 if that is not set."`
+	MemoryMB       int `long:"memory-mb" env:"ACACIAGLADE_MEMORY_MB" default:"0" description:"Memory of the process, in MB. What clients can make it hold is limited to a part of it. 0: a third more than GOMEMLIMIT, or 1024 if that is not set."`
 	MaxDescriptors int `long:"max-descriptors" env:"ACACIAGLADE_MAX_DESCRIPTORS" default:"0" description:"Number of descriptors of the process. Connections of clients are limited to a part of it. 0: the limit of the system (ulimit -n)."`
 }
 
